--- a/bench/call_cost.cpp
+++ b/bench/call_cost.cpp
@@ -198,6 +198,8 @@
         next->m_config_version = 1;
         next->m_ready = true;
         next->m_mesh = config;
+        next->m_own.m_service = each->m_settings.m_service;
+        next->m_own.m_version = each->m_settings.m_version;
         service_view& view = next->m_services["pour"];
         view.m_spec = spec;
         view.m_old_version = "v1";
--- a/src/carawayd/main.cpp
+++ b/src/carawayd/main.cpp
@@ -16,6 +16,7 @@
 #include "config/settings.hpp"
 #include "node/node.hpp"
 #include "observe/log.hpp"
+#include "platform/platform_adapter.hpp"
 
 namespace {
 
@@ -26,16 +27,20 @@
 struct arguments {
     bool m_check = false;
     bool m_version = false;
+    bool m_platform = false;
     std::string m_file;
 };
 
 std::optional<arguments> parse_arguments(int argc, char** argv) {
     int check = 0;
     int version = 0;
+    int platform = 0;
     const std::array options{
         poptOption{"check", 'c', POPT_ARG_NONE, &check, 0, "check the settings and exit", nullptr},
         poptOption{"version", 'V', POPT_ARG_NONE, &version, 0, "print the version and exit",
                    nullptr},
+        poptOption{"platform", 'p', POPT_ARG_NONE, &platform, 0,
+                   "speak with the platform instead of the product's own surroundings", nullptr},
         poptOption POPT_AUTOHELP poptOption POPT_TABLEEND};
     const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
         poptGetContext(nullptr, argc, const_cast<const char**>(argv), options.data(), 0),
@@ -46,7 +51,7 @@
         fmt::print(stderr, "{}: {}\n", poptBadOption(context.get(), 0), poptStrerror(status));
         return std::nullopt;
     }
-    arguments out{check != 0, version != 0, {}};
+    arguments out{check != 0, version != 0, platform != 0, {}};
     const char* file = poptGetArg(context.get());
     if (file == nullptr && !out.m_version) {
         poptPrintUsage(context.get(), stderr, 0);
@@ -56,30 +61,52 @@
     return out;
 }
 
-std::optional<node_settings> load_settings(const std::string& file) {
-    std::ifstream in(file, std::ios::binary);
+std::optional<node_settings> load_settings(const arguments& parsed) {
+    std::ifstream in(parsed.m_file, std::ios::binary);
     if (!in) {
-        fmt::print(stderr, "{}: can't be read\n", file);
+        fmt::print(stderr, "{}: can't be read\n", parsed.m_file);
         return std::nullopt;
     }
     const std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
     std::vector<text_fault> faults;
     auto settings = parse_settings(text, faults);
     for (const text_fault& fault : faults) {
-        fmt::print(stderr, "{}\n", format_fault(file, fault));
+        fmt::print(stderr, "{}\n", format_fault(parsed.m_file, fault));
+    }
+    if (settings && parsed.m_platform) {
+        settings->m_edge = platform::make_edge_headers();
     }
     return settings;
 }
 
-int run(const node_settings& settings) {
+// Waits for SIGHUP again and again; settings that can't be read leave those in force.
+void reload_on_hangup(boost::asio::signal_set& hangups, node& running, const arguments& parsed) {
+    hangups.async_wait([&hangups, &running, &parsed](const boost::system::error_code& ec, int) {
+        if (ec) {
+            return;
+        }
+        if (auto settings = load_settings(parsed)) {
+            running.reload(*settings);
+        } else {
+            log_event(log_level::error, "settings_rejected", {{"file", parsed.m_file}});
+        }
+        reload_on_hangup(hangups, running, parsed);
+    });
+}
+
+int run(const node_settings& settings, const arguments& parsed) {
     const system_clock_source clock;
     boost::asio::io_context context(1);
     error reason;
-    const std::unique_ptr<node> running = node::start(context, settings, clock, reason);
+    const std::unique_ptr<node> running =
+        node::start(context, settings,
+                    parsed.m_platform ? platform::make_adapter() : own_adapter(), clock, reason);
     if (!running) {
         log_event(log_level::error, "start_failed", {{"reason", reason.m_text}});
         return answer_for(reason.m_kind).m_exit_code;
     }
+    boost::asio::signal_set hangups(context, SIGHUP);
+    reload_on_hangup(hangups, *running, parsed);
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&running](const boost::system::error_code& ec, int /*signal*/) {
         if (!ec) {
@@ -102,9 +129,9 @@
         fmt::print("{}", version_text);
         return 0;
     }
-    const auto settings = load_settings(parsed->m_file);
+    const auto settings = load_settings(*parsed);
     if (!settings) {
         return answer_for(error_kind::invalid_settings).m_exit_code;
     }
-    return parsed->m_check ? 0 : run(*settings);
+    return parsed->m_check ? 0 : run(*settings, *parsed);
 }
--- /dev/null
+++ b/src/config/adapter.cpp
@@ -0,0 +1,14 @@
+#include "config/adapter.hpp"
+
+#include "decide/version_move.hpp"
+
+namespace caraway {
+
+adapter own_adapter() {
+    adapter out;
+    out.m_encode_move = encode_move;
+    out.m_decode_move = decode_move;
+    return out;
+}
+
+} // namespace caraway
--- a/src/config/mesh.cpp
+++ b/src/config/mesh.cpp
@@ -80,13 +80,6 @@
                        rest == 0 ? "" : fmt::format(".{:03}", rest));
 }
 
-bool route_order(const route_spec& a, const route_spec& b) {
-    if (a.m_path.size() != b.m_path.size()) {
-        return a.m_path.size() > b.m_path.size();
-    }
-    return a.m_path < b.m_path;
-}
-
 // A dependency as it stands in the text.
 struct dependency {
     std::string m_name;
@@ -253,7 +246,7 @@
         }
         check.m_mesh.m_routes.push_back(std::move(route));
     }
-    std::sort(check.m_mesh.m_routes.begin(), check.m_mesh.m_routes.end(), route_order);
+    sort_routes(check.m_mesh.m_routes);
 }
 
 // Reports dependencies on unknown services and one fault for every dependency that closes a cycle.
@@ -492,37 +485,83 @@
     return lines;
 }
 
-const route_spec* match_route(const mesh& config, std::string_view path) {
+namespace {
+
+bool route_before(const route_spec& route, std::string_view path, std::string_view host) {
+    if (route.m_path.size() != path.size()) {
+        return route.m_path.size() > path.size();
+    }
+    return route.m_path != path ? route.m_path < path : route.m_host < host;
+}
+
+const route_spec* find_route(const mesh& config, std::string_view host, std::string_view path) {
+    const auto at = std::lower_bound(config.m_routes.begin(), config.m_routes.end(), path,
+                                     [host](const route_spec& route, std::string_view wanted) {
+                                         return route_before(route, wanted, host);
+                                     });
+    const bool found =
+        at != config.m_routes.end() && at->m_path == path && at->m_host == host;
+    return found ? &*at : nullptr;
+}
+
+// The route with exactly this prefix, for the host or for any.
+const route_spec* find_prefix(const mesh& config, std::string_view host, std::string_view path) {
+    if (!host.empty()) {
+        if (const route_spec* route = find_route(config, host, path)) {
+            return route;
+        }
+    }
+    return find_route(config, {}, path);
+}
+
+} // namespace
+
+void sort_routes(std::vector<route_spec>& routes) {
+    std::sort(routes.begin(), routes.end(), [](const route_spec& left, const route_spec& right) {
+        return route_before(left, right.m_path, right.m_host);
+    });
+}
+
+const route_spec* match_route(const mesh& config, std::string_view host, std::string_view path) {
     path = path.substr(0, path.find_first_of("?#"));
     if (path.empty() || path[0] != '/' || config.m_routes.empty()) {
         return nullptr;
     }
-    const auto find = [&](std::string_view prefix) -> const route_spec* {
-        const auto at = std::lower_bound(config.m_routes.begin(), config.m_routes.end(), prefix,
-                                         [](const route_spec& route, std::string_view wanted) {
-                                             return route.m_path.size() != wanted.size()
-                                                        ? route.m_path.size() > wanted.size()
-                                                        : route.m_path < wanted;
-                                         });
-        return at != config.m_routes.end() && at->m_path == prefix ? &*at : nullptr;
-    };
-    // Prefixes end where the path ends or before a slash. Those longer than the longest route are
-    // skipped, which bounds the work for a long path.
+    // Prefixes end where the path ends, or before or behind a slash. Those longer than the longest
+    // route are skipped, which bounds the work for a long path.
     std::size_t end = path.size();
     const std::size_t longest = config.m_routes.front().m_path.size();
     while (end > 0) {
-        if (end <= longest) {
-            if (const route_spec* route = find(path.substr(0, end))) {
+        const std::size_t behind_slash = std::min(end + 1, path.size());
+        for (const std::size_t length : {behind_slash, end}) {
+            if (length > longest) {
+                continue;
+            }
+            if (const route_spec* route = find_prefix(config, host, path.substr(0, length))) {
                 return route;
             }
         }
         end = path.rfind('/', end - 1);
     }
-    return find("/");
+    return find_prefix(config, host, "/");
+}
+
+const route_spec* match_route(const mesh& config, std::string_view path) {
+    return match_route(config, {}, path);
+}
+
+bool is_old_version(const service_spec& service, std::string_view version) {
+    if (!service.m_version.empty()) {
+        return version == service.m_version;
+    }
+    return !service.m_move || version != service.m_move->m_to;
 }
 
 std::string move_id(std::string_view service, const move_spec& move) {
-    const std::string key = fmt::format("{}\n{}\n{}", service, move.m_to, unix_ms(move.m_deadline));
+    const std::string key =
+        move.m_order != 0
+            ? fmt::format("{}\n{}\norder {}", service, move.m_to, move.m_order)
+            : fmt::format("{}\n{}\n{}", service, move.m_to, unix_ms(move.m_deadline));
     return fmt::format("{:016x}", hash_bytes(key));
 }
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -34,19 +34,20 @@
     "traffic",  "results", "shutdown",       "log",   "random"};
 constexpr std::array<std::string_view, 4> instance_keys{"name", "data_centre", "service",
                                                         "version"};
-constexpr std::array<std::string_view, 8> listen_keys{
-    "traffic",          "peer_udp",     "peer_bulk",     "admin",
-    "announce_traffic", "announce_udp", "announce_bulk", "source"};
-constexpr std::array<std::string_view, 2> backend_server_keys{"address", "health_interval"};
+constexpr std::array<std::string_view, 10> listen_keys{
+    "traffic", "peer_udp",         "peer_bulk",    "admin",         "callers",
+    "reports", "announce_traffic", "announce_udp", "announce_bulk", "source"};
+constexpr std::array<std::string_view, 3> backend_server_keys{"address", "health_interval",
+                                                              "report_interval"};
 constexpr std::array<std::string_view, 3> store_keys{"addresses", "timeout", "lease_period"};
 constexpr std::array<std::string_view, 6> peers_keys{
     "seeds",         "probe_interval",   "probe_timeout",
     "fetch_timeout", "join_backoff_max", "joins_per_second"};
-constexpr std::array<std::string_view, 6> traffic_keys{"threads",        "max_connections",
-                                                       "max_body_bytes", "max_header_bytes",
-                                                       "behind_wait",    "retry_budget_percent"};
+constexpr std::array<std::string_view, 7> traffic_keys{
+    "threads",     "max_connections",      "max_body_bytes", "max_header_bytes",
+    "behind_wait", "retry_budget_percent", "retry_burst"};
 constexpr std::array<std::string_view, 3> results_keys{"retention", "entries", "bytes"};
-constexpr std::array<std::string_view, 1> shutdown_keys{"drain_timeout"};
+constexpr std::array<std::string_view, 2> shutdown_keys{"drain_timeout", "announce_time"};
 constexpr std::array<std::string_view, 2> log_keys{"trace_spans", "record_lines"};
 constexpr std::array<std::string_view, 1> random_keys{"seed"};
 
@@ -125,6 +126,8 @@
     read_endpoint(reader, "peer_udp", required, settings.m_peer_udp);
     read_endpoint(reader, "peer_bulk", required, settings.m_peer_bulk);
     read_endpoint(reader, "admin", required, settings.m_admin);
+    read_endpoint(reader, "callers", optional, settings.m_callers);
+    read_endpoint(reader, "reports", optional, settings.m_reports);
     settings.m_announce_traffic = settings.m_traffic;
     settings.m_announce_udp = settings.m_peer_udp;
     settings.m_announce_bulk = settings.m_peer_bulk;
@@ -182,6 +185,7 @@
                          settings.m_behind_wait);
     reader.read_integer("retry_budget_percent", optional, 0U, 100U,
                         settings.m_retry_budget_percent);
+    reader.read_integer("retry_burst", optional, 0U, 100U, settings.m_retry_burst);
 }
 
 } // namespace
@@ -244,14 +248,17 @@
     instance.read_name("name", required, settings.m_instance);
     instance.read_name("data_centre", required, settings.m_data_centre);
     instance.read_name("service", required, settings.m_service);
-    instance.read_name("version", required, settings.m_version);
 
     read_listen(sections.open("listen", listen_keys), settings);
+    instance.read_name("version", settings.m_reports.m_port != 0 ? optional : required,
+                       settings.m_version);
 
     const table_reader backend = sections.open("backend_server", backend_server_keys);
     read_endpoint(backend, "address", required, settings.m_backend_server);
     backend.read_duration("health_interval", optional, milliseconds(0), milliseconds(3'600'000),
                           settings.m_health_interval);
+    backend.read_duration("report_interval", optional, milliseconds(50), milliseconds(600'000),
+                          settings.m_report_interval);
 
     read_store(sections.open("store", store_keys), sink, settings);
     read_peers(sections.open("peers", peers_keys), sink, settings);
@@ -263,9 +270,11 @@
     results.read_integer("entries", optional, 1U, 1'000'000U, settings.m_result_entries);
     results.read_integer("bytes", optional, 0U, 1U << 20U, settings.m_result_bytes);
 
-    sections.open("shutdown", shutdown_keys)
-        .read_duration("drain_timeout", optional, milliseconds(0), milliseconds(600'000),
-                       settings.m_drain_timeout);
+    const table_reader shutdown = sections.open("shutdown", shutdown_keys);
+    shutdown.read_duration("drain_timeout", optional, milliseconds(0), milliseconds(600'000),
+                           settings.m_drain_timeout);
+    shutdown.read_duration("announce_time", optional, milliseconds(0), milliseconds(600'000),
+                           settings.m_announce_time);
     const table_reader log = sections.open("log", log_keys);
     log.read_bool("trace_spans", optional, settings.m_trace_spans);
     log.read_integer("record_lines", optional, 0U, 1'000'000U, settings.m_record_lines);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -25,6 +25,18 @@
 // Writes "address:port", with brackets around an IPv6 address.
 std::string format_endpoint(const ip_endpoint& endpoint);
 
+// Names of the headers between callers, nodes and backend servers. The adapter of a deployment may
+// give others; an empty name means that the header isn't used there.
+struct edge_headers {
+    std::string m_request_number = "x-request-number";
+    std::string m_deadline_ms = "x-caraway-deadline-ms";
+    std::string m_not_run = "x-caraway-backend-shed"; // a server's word that it didn't run the call
+    std::string m_expected_server; // the server that alone may run the call
+    std::string m_caller_service;  // service of the instance where the call began
+    std::string m_server_seal;     // on every answer that a server made itself
+    friend bool operator==(const edge_headers&, const edge_headers&) = default;
+};
+
 // All settings of carawayd. Each has a default or is required, a unit and a bound; the reference
 // is docs/operators.md.
 struct node_settings {
@@ -32,12 +44,16 @@
     std::string m_instance;    // required, unique name of the instance
     std::string m_data_centre; // required
     std::string m_service;     // required, the service of the backend server beside this node
-    std::string m_version;     // required, the version of the backend server
+    std::string m_version; // of the backend server; required unless the server reports it
     // [listen]
     ip_endpoint m_traffic;   // required; callers and other nodes
     ip_endpoint m_peer_udp;  // required; probes and rumours
     ip_endpoint m_peer_bulk; // required; nng request/reply
     ip_endpoint m_admin;     // required; metrics, health, readiness
+    // Callers only; port 0: they use m_traffic, too. Headers of nodes are not believed there.
+    ip_endpoint m_callers;
+    // Where the backend server reports itself; port 0: the settings describe the server.
+    ip_endpoint m_reports;
     // Addresses announced to other nodes; equal to the ones above unless a proxy stands between.
     ip_endpoint m_announce_traffic;
     ip_endpoint m_announce_udp;
@@ -47,6 +63,7 @@
     // [backend_server]
     ip_endpoint m_backend_server;           // required
     milliseconds m_health_interval{10'000}; // 0 = no probing; a probe costs the server time
+    milliseconds m_report_interval{1'500};  // expected time between two reports
     // [store]
     std::vector<ip_endpoint> m_store; // required, at least one
     milliseconds m_store_timeout{2'000};
@@ -65,18 +82,24 @@
     std::uint32_t m_max_header_bytes = 16U << 10U;
     milliseconds m_behind_wait{250};
     std::uint32_t m_retry_budget_percent = 10;
+    std::uint32_t m_retry_burst = 10; // retries to a service before its calls have earned any
     // [results]
     milliseconds m_result_retention{600'000};
     std::uint32_t m_result_entries = 10'000;
     std::uint32_t m_result_bytes = 64U << 10U;
     // [shutdown]
     milliseconds m_drain_timeout{30'000};
+    // A leaving node still takes new work for this long, until the others have heard of its leave.
+    // Without it, calls were refused twice when four of six instances left at the same time.
+    milliseconds m_announce_time{300};
     // [log]
     bool m_trace_spans = true;
     // Recorded inputs of decisions that may wait to be written; 0 = not recorded.
     std::uint32_t m_record_lines = 0;
     // [random]
     std::uint64_t m_seed = 0; // 0 = from the random device at start
+    // Not in the file: set by the deployment's adapter.
+    edge_headers m_edge;
     friend bool operator==(const node_settings&, const node_settings&) = default;
 };
 
--- a/src/ctl/replay_player.cpp
+++ b/src/ctl/replay_player.cpp
@@ -111,8 +111,10 @@
     }
     admission_release release;
     if (name == "limits") {
-        set_admission_limits(state, {static_cast<std::uint32_t>(input.count("slots")),
-                                     static_cast<std::uint32_t>(input.count("queue"))});
+        admission_limits limits;
+        limits.m_slots = static_cast<std::uint32_t>(input.count("slots"));
+        limits.m_queue = static_cast<std::uint32_t>(input.count("queue"));
+        set_admission_limits(state, limits);
     } else if (name == "cancel") {
         admission_cancel(state, input.count("call"));
     } else if (name == "finish") {
--- a/src/ctl/store_session.hpp
+++ b/src/ctl/store_session.hpp
@@ -12,7 +12,7 @@
 #include "base/clock.hpp"
 #include "base/error.hpp"
 #include "config/settings.hpp"
-#include "platform/store_client.hpp"
+#include "store/store_client.hpp"
 
 namespace caraway {
 
--- a/src/decide/admission.cpp
+++ b/src/decide/admission.cpp
@@ -51,6 +51,45 @@
     return std::max<std::uint32_t>(1, state.m_limits.m_slots / cold_divisor);
 }
 
+bool says_cold(const admission_state& state, time_point now) {
+    return now < state.m_limits.m_cold_until && state.m_limits.m_cold_per_second > 0;
+}
+
+// True when one more call may begin now. The calls of any second stay within what a cold server
+// says that it bears.
+bool may_begin(admission_state& state, time_point now) {
+    if (state.m_running >= allowed(state)) {
+        return false;
+    }
+    if (!says_cold(state, now)) {
+        return true;
+    }
+    while (!state.m_cold_starts.empty() &&
+           now - state.m_cold_starts.front() >= std::chrono::seconds(1)) {
+        state.m_cold_starts.pop_front();
+    }
+    return static_cast<double>(state.m_cold_starts.size()) + 1 <=
+           state.m_limits.m_cold_per_second;
+}
+
+void begin_call(admission_state& state, time_point now) {
+    ++state.m_running;
+    if (says_cold(state, now)) {
+        state.m_cold_starts.push_back(now);
+    }
+}
+
+// How long a call behind so many others waits for a slot and runs, as far as known.
+duration expected_time(const admission_state& state, std::uint32_t ahead, time_point now) {
+    const std::uint32_t limit = allowed(state);
+    const duration busy = state.m_smoothed_latency * (ahead + limit) / limit;
+    if (!says_cold(state, now)) {
+        return busy;
+    }
+    const std::chrono::duration<double> paced(ahead / state.m_limits.m_cold_per_second);
+    return std::max(busy, std::chrono::duration_cast<duration>(paced));
+}
+
 bool at_slots(const admission_state& state) {
     return allowed(state) >= state.m_limits.m_slots;
 }
@@ -64,6 +103,9 @@
 // The smoothed latency starts again, so that warm answers from before don't hide that the server
 // is cold now.
 void drop_to_one(admission_state& state, time_point now) {
+    if (!state.m_limits.m_infers_cold) {
+        return;
+    }
     state.m_cold_limit = 1;
     state.m_warm = false;
     state.m_answers = 0;
@@ -156,9 +198,9 @@
         }
     }
     std::erase_if(state.m_queue, [&](const queued_call& call) { return call.m_deadline <= now; });
-    while (taken < state.m_queue.size() && state.m_running < allowed(state)) {
+    while (taken < state.m_queue.size() && may_begin(state, now)) {
         release.m_run.push_back(state.m_queue[taken].m_id);
-        ++state.m_running;
+        begin_call(state, now);
         ++taken;
     }
     state.m_queue.erase(state.m_queue.begin(),
@@ -176,6 +218,10 @@
 
 void set_admission_limits(admission_state& state, const admission_limits& limits) {
     state.m_limits = limits;
+    if (!limits.m_infers_cold) {
+        state.m_cold_limit = std::max(1U, limits.m_slots);
+        return;
+    }
     state.m_cold_limit = std::min<double>(state.m_cold_limit, std::max(1U, limits.m_slots));
 }
 
@@ -192,13 +238,13 @@
         result.m_reason = error_kind::deadline_before_send;
         return result;
     }
-    const std::uint32_t limit = allowed(state);
-    if (state.m_queue.empty() && state.m_running < limit) {
-        ++state.m_running;
+    if (state.m_queue.empty() && may_begin(state, now)) {
+        begin_call(state, now);
         result.m_verdict = admission_verdict::run;
         return result;
     }
-    const error_kind full = at_slots(state) ? error_kind::queue_full : error_kind::cold_start_limit;
+    const bool cold = !at_slots(state) || says_cold(state, now);
+    const error_kind full = cold ? error_kind::cold_start_limit : error_kind::queue_full;
     const queued_call waiting{call, level, deadline, state.m_next_order++};
     const auto place =
         std::upper_bound(state.m_queue.begin(), state.m_queue.end(), waiting, goes_before);
@@ -206,7 +252,7 @@
         !state.m_queue.empty() && state.m_queue.back().m_urgency > waiting.m_urgency;
     if (!less_urgent_wait) {
         const auto ahead = place - state.m_queue.begin() + 1;
-        if (now + state.m_smoothed_latency * (ahead + limit) / limit > deadline) {
+        if (now + expected_time(state, static_cast<std::uint32_t>(ahead), now) > deadline) {
             result.m_reason = full;
             return result;
         }
@@ -283,6 +329,9 @@
 // for the reference left a version that was slow from its first call unnoticed at a few calls a
 // second.
 bool is_cold(const admission_state& state, time_point now) {
+    if (!state.m_limits.m_infers_cold) {
+        return now < state.m_limits.m_cold_until;
+    }
     if (at_slots(state) || state.m_warm) {
         return false;
     }
--- a/src/decide/admission.hpp
+++ b/src/decide/admission.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,11 @@
     // How long a server without a known warm latency is held at a quarter of its slots at least,
     // counted from its first answer; longer while its latency still falls.
     milliseconds m_cold_hold{5'000};
+    // False for a server that says itself when it is cold: the limit is then always the slots.
+    bool m_infers_cold = true;
+    // Such a server bears so many calls a second until then; 0: any number.
+    time_point m_cold_until;
+    double m_cold_per_second = 0;
 };
 
 // A call that waits for a slot.
@@ -47,6 +53,7 @@
     time_point m_dropped_at; // answers to calls that began before this don't count
     std::vector<queued_call> m_queue;
     std::uint64_t m_next_order = 0;
+    std::deque<time_point> m_cold_starts; // calls begun in the last second while cold
     bool m_draining = false;
 };
 
--- a/src/decide/balance.cpp
+++ b/src/decide/balance.cpp
@@ -126,6 +126,21 @@
     return true;
 }
 
+std::size_t choose_part(split_choice& choice, std::span<const std::uint32_t> weights) {
+    if (choice.m_credit.size() != weights.size()) {
+        choice.m_credit.assign(weights.size(), 0);
+    }
+    std::int64_t total = 0;
+    std::size_t best = 0;
+    for (std::size_t i = 0; i < weights.size(); ++i) {
+        choice.m_credit[i] += weights[i];
+        total += weights[i];
+        best = choice.m_credit[i] > choice.m_credit[best] ? i : best;
+    }
+    choice.m_credit[best] -= total;
+    return best;
+}
+
 bool breaker_is_open(const circuit_breaker& breaker, time_point now) {
     return breaker.m_failures >= breaker_threshold && now < breaker.m_open_until;
 }
--- a/src/decide/balance.hpp
+++ b/src/decide/balance.hpp
@@ -6,6 +6,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/clock.hpp"
 #include "base/random.hpp"
@@ -44,6 +45,15 @@
 // new version off a route.
 bool choose_new_version(version_share& share, std::uint32_t weight_permille, random_source& random);
 
+// One node's choices between the services of a split route.
+struct split_choice {
+    std::vector<std::int64_t> m_credit; // by part
+};
+
+// Chooses a part by its weight: smooth weighted round robin, exact to about one call at any moment.
+// weights holds at least one that is above 0; a choice with other numbers of parts starts afresh.
+std::size_t choose_part(split_choice& choice, std::span<const std::uint32_t> weights);
+
 // A circuit breaker for one backend server: opens after consecutive failures to reach it and lets
 // one call through after a backoff.
 struct circuit_breaker {
--- a/src/decide/distribution.cpp
+++ b/src/decide/distribution.cpp
@@ -53,7 +53,7 @@
 // down then learns at least this version from one of them.
 bool has_replicas(const distribution_state& state, std::uint64_t version,
                   std::size_t live_members) {
-    const std::size_t needed = std::min(replicas_before_apply, live_members);
+    const std::size_t needed = std::min(state.m_replicas, live_members);
     std::size_t holders = 0;
     for (auto at = state.m_holders.lower_bound(version);
          at != state.m_holders.end() && holders < needed; ++at) {
--- a/src/decide/distribution.hpp
+++ b/src/decide/distribution.hpp
@@ -62,6 +62,8 @@
     std::set<std::string, std::less<>> m_fetch_failed;
     std::string m_scan_from; // where the next bounded search of m_peer_versions starts
     milliseconds m_fetch_timeout{2'000};
+    // Other members that must hold a text before this node applies it.
+    std::size_t m_replicas = replicas_before_apply;
     random_source m_random{1};
     // Joining.
     bool m_store_read = false;      // the store's accepted version was read since start
--- /dev/null
+++ b/src/decide/own_server.cpp
@@ -0,0 +1,69 @@
+#include "decide/own_server.hpp"
+
+namespace caraway {
+namespace {
+
+bool is_current(const own_server& server, std::string_view identity, std::int64_t started_ms) {
+    return server.m_report && server.m_report->m_server == identity &&
+           server.m_report->m_started_ms == started_ms;
+}
+
+} // namespace
+
+std::string_view report_verdict_name(report_verdict value) {
+    switch (value) {
+    case report_verdict::taken:
+        return "taken";
+    case report_verdict::stale:
+        return "stale";
+    case report_verdict::foreign:
+        break;
+    }
+    return "foreign";
+}
+
+report_verdict receive_report(own_server& server, const server_report& report,
+                              const ip_endpoint& own_address, time_point now) {
+    if (report.m_address != own_address) {
+        return report_verdict::foreign;
+    }
+    if (is_current(server, report.m_server, report.m_started_ms)) {
+        if (report.m_sequence <= server.m_report->m_sequence) {
+            return report_verdict::stale;
+        }
+    } else {
+        if (server.m_report && report.m_started_ms <= server.m_report->m_started_ms) {
+            return report_verdict::stale;
+        }
+        server = own_server{};
+    }
+    server.m_report = report;
+    server.m_reported_at = now;
+    server.m_cold_until = now + report.m_warmup_left;
+    server.m_unreachable = false;
+    return report_verdict::taken;
+}
+
+report_verdict receive_leave(own_server& server, const server_leave& leave) {
+    if (!server.m_report || server.m_report->m_server != leave.m_server) {
+        return report_verdict::stale;
+    }
+    if (leave.m_started_ms && *leave.m_started_ms != server.m_report->m_started_ms) {
+        return report_verdict::stale;
+    }
+    server.m_left = true;
+    return report_verdict::taken;
+}
+
+error_kind server_refusal(const own_server& server, time_point now, milliseconds silence_limit) {
+    if (!server.m_report) {
+        return error_kind::connect_failed;
+    }
+    if (server.m_left || server.m_report->m_state == server_state::draining) {
+        return error_kind::draining;
+    }
+    const bool silent = now - server.m_reported_at > silence_limit;
+    return silent || server.m_unreachable ? error_kind::connect_failed : error_kind::none;
+}
+
+} // namespace caraway
--- a/src/decide/retry.cpp
+++ b/src/decide/retry.cpp
@@ -19,7 +19,9 @@
 
 // The budget is asked last, so that a call that may not be retried anyway takes no token.
 bool may_retry(const attempt& failed, retry_budget& budget, time_point now) {
-    if (failed.m_retries >= max_retries || failed.m_refused_deeper) {
+    const std::uint32_t limit =
+        failed.m_reached_server ? failed.m_max_retries : max_refused_retries;
+    if (failed.m_retries >= limit || failed.m_refused_deeper) {
         return false;
     }
     if (failed.m_deadline - now < min_retry_time) {
@@ -29,6 +31,9 @@
     if (!not_run && !(failed.m_idempotent && is_repeatable_unknown(failed.m_failure))) {
         return false;
     }
+    if (!failed.m_reached_server) {
+        return true; // costs no backend server anything
+    }
     if (budget.m_tokens < 1) {
         return false;
     }
--- a/src/decide/retry.hpp
+++ b/src/decide/retry.hpp
@@ -18,19 +18,25 @@
 // Counts one first attempt.
 void budget_deposit(retry_budget& budget);
 
+// Retries of one call at further backend servers, unless its route allows more.
+constexpr std::uint32_t max_retries = 1;
+// Retries after nodes that refused the call before it reached their backend servers.
+constexpr std::uint32_t max_refused_retries = 2;
+
 // What is known of the attempt that failed.
 struct attempt {
     error_kind m_failure = error_kind::none;
     bool m_idempotent = false;
-    std::uint32_t m_retries = 0; // made so far in this layer
+    std::uint32_t m_retries = 0; // made so far in this layer, after failures of the same sort
+    // The request reached a backend server, so that another try is one more arrival there.
+    bool m_reached_server = true;
+    std::uint32_t m_max_retries = max_retries; // counts if m_reached_server
     // The next hop itself already retried or is an intermediate answer of a deeper hop: only the
     // layer next to the refusal retries.
     bool m_refused_deeper = false;
     time_point m_deadline;
 };
 
-// Retries in one layer for one call.
-constexpr std::uint32_t max_retries = 1;
 // A retry with less time left than this can't succeed and is not made.
 constexpr milliseconds min_retry_time{2};
 
--- a/src/node/accepter.cpp
+++ b/src/node/accepter.cpp
@@ -288,7 +288,7 @@
 
 // Removes the record of a move unless it has been replaced by that of a later move.
 void remove_record(control& state, const std::string& service, const std::string& id) {
-    const std::string key = std::string(move_prefix) + service;
+    const std::string key = std::string(state.m_adapter.m_move_prefix) + service;
     state.m_store->get(key, [&state, key, id](const store_reply& reply) {
         const auto record = reply.m_kind == error_kind::none
                                 ? decode_move(reply.m_value, reply.m_revision)
--- a/src/node/admin_pages.cpp
+++ b/src/node/admin_pages.cpp
@@ -74,8 +74,8 @@
     if (path == "/healthz") {
         return {200, "text/plain", "ok\n"};
     }
-    if (path == "/readyz") {
-        const bool ready = state.m_distribution.m_ready && !state.m_draining;
+    if (path == state.m_adapter.m_readiness_path) {
+        const bool ready = state.m_distribution.m_ready && !state.m_leaving && !state.m_draining;
         return {static_cast<std::uint16_t>(ready ? 200 : 503), "text/plain",
                 ready ? "ready\n" : "not ready\n"};
     }
--- a/src/node/config_sync.cpp
+++ b/src/node/config_sync.cpp
@@ -13,20 +13,44 @@
     log_event(log_level::error, "config_rejected", {{"version", version}, {"fault", first}});
 }
 
+// The accepter has checked that deadlines lay ahead at acceptance; here an accepted text is valid
+// however late it arrives, so the time of the check is the beginning of the epoch.
+std::optional<mesh> parse_own_text(const control& state, std::uint64_t version,
+                                   std::string_view text) {
+    std::vector<text_fault> faults;
+    auto parsed = parse_mesh(text, wall_time{}, state.m_mesh.get(), faults);
+    if (!parsed) {
+        report_parse_failure(version, faults);
+    }
+    return parsed;
+}
+
+std::optional<mesh> parse_items_text(const control& state, std::uint64_t version,
+                                     std::string_view text) {
+    const auto items = decode_items(text);
+    error reason;
+    if (!items) {
+        fail(reason, error_kind::invalid_text, "no list of items");
+    }
+    auto parsed = items ? state.m_adapter.m_parse_items(*items, reason) : std::nullopt;
+    if (!parsed) {
+        log_event(log_level::error, "config_rejected",
+                  {{"version", version}, {"fault", reason.m_text}});
+    }
+    return parsed;
+}
+
 void parse_text(control& state, std::uint64_t version) {
     const auto held = state.m_distribution.m_texts.find(version);
     if (held == state.m_distribution.m_texts.end()) {
         return;
     }
-    // The accepter has checked that deadlines lay ahead at acceptance; here an accepted text is
-    // valid however late it arrives, so the time of the check is the beginning of the epoch.
-    std::vector<text_fault> faults;
-    auto parsed = parse_mesh(*held->second.m_text, wall_time{}, state.m_mesh.get(), faults);
+    auto parsed = state.reads_operator_items()
+                      ? parse_items_text(state, version, *held->second.m_text)
+                      : parse_own_text(state, version, *held->second.m_text);
     const bool valid = parsed.has_value();
     if (valid) {
         state.m_parsed[version] = std::make_shared<const mesh>(std::move(*parsed));
-    } else {
-        report_parse_failure(version, faults);
     }
     perform(state, decide_parsed(state, version, valid));
 }
@@ -74,7 +98,9 @@
     state.m_members.m_facts_digest = facts_digest(state.m_facts);
     state.m_snapshot_dirty = true;
     refresh_snapshot(state);
-    announce_in_force(state);
+    if (!state.reads_operator_items()) {
+        announce_in_force(state);
+    }
 }
 
 void fetch_version(control& state, const std::string& instance, std::uint64_t have) {
@@ -116,7 +142,7 @@
             perform(state, membership_update_self(state.m_members, true, state.now()));
             break;
         case distribution_action::kind::ready:
-            state.m_members.m_self.m_ready = true;
+            state.m_members.m_self.m_ready = state.m_own_view.m_refusal == error_kind::none;
             log_event(log_level::info, "node_ready", {{"version", state.m_distribution.m_applied}});
             perform(state, membership_update_self(state.m_members, true, state.now()));
             state.m_snapshot_dirty = true;
@@ -183,6 +209,7 @@
     input.m_ready = state.m_distribution.m_ready;
     input.m_draining = state.m_draining;
     input.m_mesh = state.m_mesh;
+    input.m_own = state.m_own_view;
     input.m_members = &state.m_members;
     input.m_facts = &state.m_facts;
     input.m_now = state.now();
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -14,6 +14,7 @@
 
 #include "base/clock.hpp"
 #include "base/random.hpp"
+#include "config/adapter.hpp"
 #include "config/settings.hpp"
 #include "decide/acceptance.hpp"
 #include "decide/distribution.hpp"
@@ -25,13 +26,14 @@
 #include "observe/metrics.hpp"
 #include "peer/transport.hpp"
 #include "peer/wire.hpp"
-#include "platform/store_client.hpp"
+#include "store/store_client.hpp"
 #include "traffic/snapshot.hpp"
 #include "traffic/traffic.hpp"
 
 namespace caraway {
 
 struct admin_answer;
+struct admin_request;
 
 // Store keys.
 constexpr std::string_view text_store_key = "caraway/text";
@@ -41,7 +43,6 @@
 constexpr std::string_view state_prefix = "caraway/state/";
 constexpr std::string_view accepted_key = "caraway/state/accepted";
 constexpr std::string_view refused_key = "caraway/state/refused";
-constexpr std::string_view move_prefix = "caraway/state/move/";
 constexpr std::string_view entry_prefix = "caraway/entry/";
 
 // Readers read the whole prefix this often, since a watch can miss events; the accepter likewise.
@@ -74,6 +75,23 @@
     time_point m_retry_at;
 };
 
+// Reads of the operators' items where no accepter stands between.
+struct operator_watch {
+    bool m_reached = false; // the store answered the last call
+    bool m_busy = false;
+    bool m_listed = false; // all items were read, and m_after is known
+    std::uint64_t m_after = 0;
+    std::map<std::string, store_entry> m_items; // by key
+    time_point m_retry_at;
+    time_point m_next_list;
+    bool m_entry_written = false;
+    bool m_entry_busy = false;
+    time_point m_entry_retry_at;
+    bool m_records_read = false;
+    bool m_records_busy = false;
+    time_point m_records_retry_at;
+};
+
 // The accepter: judges submitted texts.
 struct accepter_role {
     lease_role m_lease;
@@ -146,11 +164,12 @@
 };
 
 struct control {
-    control(boost::asio::io_context& context, node_settings settings, const clock_source& clock,
-            std::uint64_t seed);
+    control(boost::asio::io_context& context, node_settings settings, adapter surroundings,
+            const clock_source& clock, std::uint64_t seed);
 
     boost::asio::io_context& m_context;
     node_settings m_settings;
+    adapter m_adapter;
     const clock_source& m_clock;
     random_source m_random;
     std::unique_ptr<node_metrics> m_metrics;
@@ -171,6 +190,9 @@
     // base of deltas. Kept besides m_distribution, which may have skipped that version.
     std::optional<config_text> m_whole_text;
     std::vector<std::unique_ptr<reader_role>> m_readers;
+    operator_watch m_operator;
+    own_server m_own_server;
+    own_server_view m_own_view; // as the traffic side knows it
     accepter_role m_accepter;
     move_role m_move;
     collector_state m_collector;
@@ -189,6 +211,8 @@
     std::unique_ptr<traffic_server> m_traffic; // last: its threads call into the members above
 
     time_point now() const { return m_clock.now(); }
+    // True where the store itself accepts configurations, so that no accepter or reader is needed.
+    bool reads_operator_items() const { return !m_adapter.m_operator_prefix.empty(); }
 };
 
 // gossip.cpp: membership and facts.
@@ -245,6 +269,25 @@
 // Rebuilds the routing snapshot when something changed.
 void refresh_snapshot(control& state);
 
+// operator_watch.cpp: the operators' items.
+
+// Keeps the items read and watched, and names this node to those that join.
+void tick_operator_watch(control& state, time_point now);
+// The text that holds all items, and the items of such a text; nothing when it is malformed.
+std::string encode_items(std::span<const store_entry> items);
+std::optional<std::vector<store_entry>> decode_items(std::string_view text);
+
+// server_reports.cpp: the backend server beside this node.
+
+// What the traffic side has to know of the own server now.
+own_server_view view_own_server(const control& state);
+// Brings the snapshot and the members up to date with the own server's state.
+void refresh_own_server(control& state);
+// Connections to the own server failed: no calls for it until it reports again.
+void note_unreachable_server(control& state, const std::string& server);
+// Answers a report of the own server.
+admin_answer answer_server(control& state, const admin_request& request);
+
 // admin_pages.cpp: what the admin address answers.
 
 // Metrics, health (the process runs), readiness (takes new work) and status as JSON; 404 for any
--- a/src/node/join.cpp
+++ b/src/node/join.cpp
@@ -179,7 +179,7 @@
         join.m_first_attempt = now;
     }
     ask_members(state);
-    if (!state.m_distribution.m_store_read) {
+    if (!state.m_distribution.m_store_read && !state.reads_operator_items()) {
         read_accepted_floor(state);
     }
     schedule_join_retry(state, now);
--- a/src/node/move_control.cpp
+++ b/src/node/move_control.cpp
@@ -22,8 +22,8 @@
 // Reports kept between two steps: several per instance of a large service.
 constexpr std::size_t max_reports = 4'096;
 
-std::string record_key(std::string_view service) {
-    return std::string(move_prefix) + std::string(service);
+std::string record_key(const control& state, std::string_view service) {
+    return state.m_adapter.m_move_prefix + std::string(service);
 }
 
 // The own service with its move, or null when no move of it is in the text.
@@ -31,14 +31,14 @@
     if (!state.m_mesh) {
         return nullptr;
     }
-    const auto found = state.m_mesh->m_services.find(state.m_settings.m_service);
+    const auto found = state.m_mesh->m_services.find(state.m_own_view.m_service);
     const bool moving = found != state.m_mesh->m_services.end() && found->second.m_move;
     return moving ? &found->second : nullptr;
 }
 
 // True once this node knows that the move has ended.
 bool is_final(const control& state, const std::string& id) {
-    const auto found = state.m_facts.m_records.find(state.m_settings.m_service);
+    const auto found = state.m_facts.m_records.find(state.m_own_view.m_service);
     return found != state.m_facts.m_records.end() && found->second.m_move_id == id &&
            found->second.m_state != move_state::running;
 }
@@ -83,6 +83,9 @@
         !state.m_move.m_verdicts_written.insert(record.m_move_id).second) {
         return;
     }
+    if (state.reads_operator_items()) {
+        return; // the record itself is what operators read
+    }
     const std::string key =
         fmt::format("caraway/verdict/move/{}/{}", record.m_service, record.m_move_id);
     state.m_store->put(key, encode_move(record), 0, {},
@@ -107,7 +110,7 @@
 
 void read_record(control& state, const std::string& service) {
     state.m_move.m_busy = true;
-    state.m_store->get(record_key(service), [&state](const store_reply& reply) {
+    state.m_store->get(record_key(state, service), [&state](const store_reply& reply) {
         move_role& role = state.m_move;
         role.m_busy = false;
         role.m_retry_at = state.now() + store_retry_pause;
@@ -120,10 +123,14 @@
         if (reply.m_kind != error_kind::none) {
             return;
         }
-        if (const auto record = decode_move(reply.m_value, reply.m_revision)) {
-            role.m_retry_at = state.now();
-            adopt_record(state, *record);
+        const auto record = state.m_adapter.m_decode_move(reply.m_value, reply.m_revision);
+        if (!record) {
+            log_event(log_level::error, "move_record_malformed",
+                      {{"revision", reply.m_revision}});
+            return;
         }
+        role.m_retry_at = state.now();
+        adopt_record(state, *record);
     });
 }
 
@@ -132,7 +139,8 @@
 void write_record(control& state, move_record record, std::uint64_t if_revision) {
     move_role& role = state.m_move;
     role.m_busy = true;
-    state.m_store->put(record_key(record.m_service), encode_move(record), if_revision, {},
+    state.m_store->put(record_key(state, record.m_service), state.m_adapter.m_encode_move(record),
+                       if_revision, {},
                        [&state, record](const store_reply& reply) {
                            move_role& writer = state.m_move;
                            writer.m_busy = false;
@@ -259,7 +267,8 @@
     }
     std::uint32_t instances = 1;
     for (const member* each : live_members(state.m_members)) {
-        const bool counts = each->m_service == service.m_name && each->m_version == own.m_version;
+        const bool counts = each->m_service == service.m_name &&
+                            each->m_version == state.m_own_view.m_version;
         instances += counts ? 1 : 0;
     }
     role.m_local.m_instances = instances;
@@ -277,8 +286,10 @@
 void report_evidence(control& state, const service_spec& service) {
     evidence_report own = state.m_traffic->take_evidence();
     own.m_instance = state.m_settings.m_instance;
-    own.m_service = state.m_settings.m_service;
-    own.m_version = state.m_settings.m_version;
+    own.m_service = service.m_name;
+    own.m_version = is_old_version(service, state.m_own_view.m_version)
+                        ? service.m_version
+                        : state.m_own_view.m_version;
     if (is_final(state, state.m_move.m_move_id)) {
         return;
     }
@@ -323,7 +334,7 @@
 } // namespace
 
 void receive_evidence(control& state, const evidence_report& report) {
-    if (report.m_service == state.m_settings.m_service &&
+    if (report.m_service == state.m_own_view.m_service &&
         state.m_move.m_reports.size() < max_reports) {
         state.m_move.m_reports.push_back(report);
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -18,12 +18,10 @@
 
 // Pace of the control loop. Probe timeouts are 300 ms, so 20 ms adds little to any reaction.
 constexpr milliseconds tick_interval{20};
-// A leaving node stays up at least this long, so that its leave spreads and calls that were sent
-// before it was heard are still answered.
+// A leaving node stays up at least this long, and also for refusing_time after it began to refuse
+// new work, so that its leave spreads and calls that were sent before it was heard are answered.
 constexpr milliseconds least_drain{1'000};
-// A leaving node still takes new work for this long, until the others have heard of its leave.
-// Without it, calls were refused twice when four of six instances left at the same time.
-constexpr milliseconds announce_time{300};
+constexpr milliseconds refusing_time{300};
 // A second reader goes on watching while the lease of a dead one runs out.
 constexpr int readers_per_data_centre = 2;
 constexpr milliseconds gauge_interval{1'000};
@@ -61,9 +59,10 @@
 
 } // namespace
 
-control::control(boost::asio::io_context& context, node_settings settings,
+control::control(boost::asio::io_context& context, node_settings settings, adapter surroundings,
                  const clock_source& clock, std::uint64_t seed)
-    : m_context(context), m_settings(std::move(settings)), m_clock(clock), m_random(seed) {
+    : m_context(context), m_settings(std::move(settings)), m_adapter(std::move(surroundings)),
+      m_clock(clock), m_random(seed) {
     m_metrics = node_metrics::create(m_settings.m_instance, m_settings.m_data_centre);
     membership_options options;
     options.m_probe_interval = m_settings.m_probe_interval;
@@ -75,17 +74,25 @@
     }
     m_accepter.m_lease.m_keeper =
         begin_lease("caraway/lease/accepter", m_settings, m_random(), clock.now());
+    m_own_view = view_own_server(*this);
+    if (reads_operator_items()) {
+        // The store loses nothing that it has acknowledged, so no text waits for replicas.
+        m_distribution.m_replicas = 0;
+    }
 }
 
 class node::impl {
 public:
-    impl(boost::asio::io_context& context, const node_settings& settings, const clock_source& clock)
-        : m_context(context), m_state(context, settings, clock, choose_seed(settings)),
+    impl(boost::asio::io_context& context, const node_settings& settings, adapter surroundings,
+         const clock_source& clock)
+        : m_context(context),
+          m_state(context, settings, std::move(surroundings), clock, choose_seed(settings)),
           m_timer(context) {}
 
     bool open(error& reason) {
         open_store();
-        return open_peers(reason) && open_traffic(reason) && open_admin(reason);
+        return open_peers(reason) && open_traffic(reason) && open_admin(reason) &&
+               open_reports(reason);
     }
 
     void start() {
@@ -98,9 +105,14 @@
         tick_gossip(m_state, now);
         tick_join(m_state, now);
         tick_config(m_state, now);
-        tick_store_roles(m_state, now);
+        if (m_state.reads_operator_items()) {
+            tick_operator_watch(m_state, now);
+        } else {
+            tick_store_roles(m_state, now);
+            tick_in_force(m_state, now);
+        }
         tick_move(m_state, now);
-        tick_in_force(m_state, now);
+        refresh_own_server(m_state);
         refresh_snapshot(m_state);
         tick_resync(m_state, now);
         refresh_gauges(now);
@@ -121,20 +133,41 @@
             return;
         }
         const time_point now = m_state.now();
-        m_stop_at = now + m_state.m_settings.m_drain_timeout;
-        m_stop_least = now + least_drain;
-        m_refuse_at = now + announce_time;
+        m_stop_at = now + m_state.m_settings.m_drain_timeout * 9 / 10; // the rest is for the exit
+        m_refuse_at = now + m_state.m_settings.m_announce_time;
+        m_stop_least = std::max(now + least_drain, m_refuse_at + refusing_time);
         m_state.m_leaving = true;
         log_event(log_level::info, "leaving", {});
         perform(m_state, membership_leave(m_state.m_members, now));
         release_leases(m_state);
     }
 
+    void reload(const node_settings& settings) {
+        node_settings& current = m_state.m_settings;
+        node_settings kept = settings;
+        kept.m_report_interval = current.m_report_interval;
+        kept.m_drain_timeout = current.m_drain_timeout;
+        kept.m_announce_time = current.m_announce_time;
+        kept.m_fetch_timeout = current.m_fetch_timeout;
+        kept.m_join_backoff_max = current.m_join_backoff_max;
+        kept.m_joins_per_second = current.m_joins_per_second;
+        kept.m_seeds = current.m_seeds;
+        log_event(log_level::info, "settings_reloaded", {{"needs_restart", kept != current}});
+        current.m_report_interval = settings.m_report_interval;
+        current.m_drain_timeout = settings.m_drain_timeout;
+        current.m_announce_time = settings.m_announce_time;
+        current.m_fetch_timeout = settings.m_fetch_timeout;
+        current.m_join_backoff_max = settings.m_join_backoff_max;
+        current.m_joins_per_second = settings.m_joins_per_second;
+        current.m_seeds = settings.m_seeds;
+    }
+
 private:
     void open_store() {
         node_metrics& metrics = *m_state.m_metrics;
         m_state.m_store = store_client::create(
-            m_context, m_state.m_settings.m_store, m_state.m_settings.m_store_timeout,
+            m_context, m_state.m_settings.m_store, m_state.m_adapter.m_store,
+            m_state.m_settings.m_store_timeout,
             [&metrics](std::string_view operation, error_kind result, std::uint64_t sent,
                        std::uint64_t received) {
                 metrics.count_store_call(operation, result);
@@ -174,6 +207,10 @@
             boost::asio::post(
                 m_context, [this, instance, version] { hear_version(m_state, instance, version); });
         };
+        hooks.m_server_unreachable = [this](const std::string& server) {
+            boost::asio::post(m_context,
+                              [this, server] { note_unreachable_server(m_state, server); });
+        };
         m_state.m_traffic =
             traffic_server::start(m_state.m_settings, m_state.m_clock, m_state.m_snapshot,
                                   *m_state.m_metrics, std::move(hooks), reason);
@@ -184,10 +221,23 @@
         const control& state = m_state;
         m_admin = admin_server::start(
             m_context, m_state.m_settings.m_admin,
-            [&state](std::string_view path) { return answer_admin(state, path); }, reason);
+            [&state](const admin_request& request) { return answer_admin(state, request.m_path); },
+            reason);
         return m_admin != nullptr;
     }
 
+    bool open_reports(error& reason) {
+        if (m_state.m_settings.m_reports.m_port == 0) {
+            return true;
+        }
+        control& state = m_state;
+        m_reports = admin_server::start(
+            m_context, m_state.m_settings.m_reports,
+            [&state](const admin_request& request) { return answer_server(state, request); },
+            reason, admin_server::methods::get_and_post);
+        return m_reports != nullptr;
+    }
+
     void refresh_gauges(time_point now) {
         if (now < m_state.m_next_gauges) {
             return;
@@ -227,6 +277,7 @@
     boost::asio::io_context& m_context;
     control m_state;
     std::unique_ptr<admin_server> m_admin;
+    std::unique_ptr<admin_server> m_reports;
     boost::asio::steady_timer m_timer;
     std::optional<time_point> m_stop_at; // set by shut_down: the drain timeout
     time_point m_stop_least;             // the process stays up until then
@@ -234,10 +285,10 @@
 };
 
 std::unique_ptr<node> node::start(boost::asio::io_context& context, const node_settings& settings,
-                                  const clock_source& clock, error& reason) {
+                                  adapter surroundings, const clock_source& clock, error& reason) {
     log_identity(settings.m_instance, settings.m_data_centre, log_level::info);
     begin_recording(settings, clock.now());
-    auto implementation = std::make_unique<impl>(context, settings, clock);
+    auto implementation = std::make_unique<impl>(context, settings, std::move(surroundings), clock);
     if (!implementation->open(reason)) {
         return nullptr;
     }
@@ -257,4 +308,8 @@
     m_impl->shut_down();
 }
 
+void node::reload(const node_settings& settings) {
+    m_impl->reload(settings);
+}
+
 } // namespace caraway
--- /dev/null
+++ b/src/node/operator_watch.cpp
@@ -0,0 +1,204 @@
+// Reads the operators' configuration and orders straight from the store, where the store itself
+// accepts only what is valid. All items below one prefix make one text, whose version is the store's
+// revision: it rises with every change, and nodes that can't reach the store get it from members.
+
+#include <algorithm>
+
+#include <boost/json.hpp>
+
+#include "base/hash.hpp"
+#include "node/control.hpp"
+#include "node/recorded.hpp"
+#include "observe/log.hpp"
+
+namespace caraway {
+namespace {
+
+// How long a watch waits at the store. A dead connection is noticed earlier, by keep-alive probes.
+constexpr milliseconds watch_wait{10'000};
+// Pause after a failed call, with as much again at random, so that a fleet doesn't call in step.
+constexpr milliseconds retry_pause{150};
+// The whole prefix is read this often, in case a watch missed a change.
+constexpr milliseconds relist_interval{30'000};
+
+void note_store(control& state, const store_reply& reply) {
+    operator_watch& watch = state.m_operator;
+    const bool reached = reply.m_kind == error_kind::none ||
+                         reply.m_kind == error_kind::store_not_found;
+    if (reached != watch.m_reached) {
+        watch.m_reached = reached;
+        log_event(log_level::info, reached ? "store_regained" : "store_lost",
+                  {{"reason", answer_for(reply.m_kind).m_name}, {"text", reply.m_text}});
+    }
+}
+
+void pause_watch(control& state) {
+    state.m_operator.m_retry_at =
+        state.now() + retry_pause +
+        milliseconds(state.m_random.below(static_cast<std::uint64_t>(retry_pause.count())));
+}
+
+// Takes over the items as the text of the revision, unless they are those of the text held.
+void take_items(control& state) {
+    operator_watch& watch = state.m_operator;
+    std::vector<store_entry> items;
+    for (const auto& [key, entry] : watch.m_items) {
+        items.push_back(entry);
+    }
+    if (items.empty()) {
+        perform(state, decide_store_read(state, std::nullopt));
+        return;
+    }
+    auto text = std::make_shared<const std::string>(encode_items(items));
+    const std::uint64_t hash = hash_bytes(*text);
+    const auto& texts = state.m_distribution.m_texts;
+    const bool known = !texts.empty() && texts.rbegin()->second.m_hash == hash;
+    const std::uint64_t version = known ? texts.rbegin()->first : watch.m_after;
+    perform(state, decide_store_read(state, config_text{version, hash, std::move(text)}));
+}
+
+void list_items(control& state) {
+    operator_watch& watch = state.m_operator;
+    watch.m_busy = true;
+    state.m_store->list(state.m_adapter.m_operator_prefix, [&state](const store_reply& reply) {
+        operator_watch& listed = state.m_operator;
+        listed.m_busy = false;
+        note_store(state, reply);
+        if (reply.m_kind != error_kind::none) {
+            pause_watch(state);
+            return;
+        }
+        listed.m_listed = true;
+        listed.m_after = reply.m_revision;
+        listed.m_next_list = state.now() + relist_interval;
+        listed.m_items.clear();
+        for (const store_entry& entry : reply.m_entries) {
+            listed.m_items.emplace(entry.m_key, entry);
+        }
+        take_items(state);
+    });
+}
+
+void watch_items(control& state) {
+    operator_watch& watch = state.m_operator;
+    watch.m_busy = true;
+    const auto done = [&state](const store_reply& reply) {
+        operator_watch& watched = state.m_operator;
+        watched.m_busy = false;
+        note_store(state, reply);
+        if (reply.m_kind != error_kind::none) {
+            // Without its history the store can't tell what changed meanwhile.
+            watched.m_listed = reply.m_kind != error_kind::store_not_found;
+            pause_watch(state);
+            return;
+        }
+        watched.m_after = std::max(watched.m_after, reply.m_revision);
+        for (const store_entry& entry : reply.m_entries) {
+            if (entry.m_deleted) {
+                watched.m_items.erase(entry.m_key);
+            } else {
+                watched.m_items.insert_or_assign(entry.m_key, entry);
+            }
+        }
+        if (!reply.m_entries.empty()) {
+            take_items(state);
+        }
+    };
+    state.m_store->watch(state.m_adapter.m_operator_prefix, watch.m_after, watch_wait, done);
+}
+
+// Names this node in the store, for those that join. Without a lease: an entry that outlives its
+// node costs a joining one an attempt, a lease would cost each node a call every few seconds.
+void write_entry(control& state) {
+    operator_watch& watch = state.m_operator;
+    watch.m_entry_busy = true;
+    const std::string key = std::string(entry_prefix) + state.m_settings.m_data_centre + "/" +
+                            state.m_settings.m_instance;
+    state.m_store->put(key, format_endpoint(state.m_settings.m_announce_bulk), std::nullopt, {},
+                       [&state](const store_reply& reply) {
+                           operator_watch& written = state.m_operator;
+                           written.m_entry_busy = false;
+                           written.m_entry_written = reply.m_kind == error_kind::none;
+                           written.m_entry_retry_at = state.now() + store_retry_pause;
+                       });
+}
+
+// Reads the moves' records once, so that a node that starts after a move's end knows how it ended.
+void read_records(control& state) {
+    operator_watch& watch = state.m_operator;
+    watch.m_records_busy = true;
+    state.m_store->list(state.m_adapter.m_move_prefix, [&state](const store_reply& reply) {
+        operator_watch& read = state.m_operator;
+        read.m_records_busy = false;
+        read.m_records_retry_at = state.now() + store_retry_pause;
+        if (reply.m_kind != error_kind::none) {
+            return;
+        }
+        read.m_records_read = true;
+        std::vector<move_record> records;
+        for (const store_entry& entry : reply.m_entries) {
+            if (auto record = state.m_adapter.m_decode_move(entry.m_value, entry.m_revision)) {
+                records.push_back(std::move(*record));
+            } else {
+                log_event(log_level::error, "move_record_malformed", {{"key", entry.m_key}});
+            }
+        }
+        learn_facts(state, {}, records, false);
+    });
+}
+
+} // namespace
+
+std::string encode_items(std::span<const store_entry> items) {
+    boost::json::array out;
+    for (const store_entry& item : items) {
+        out.push_back(boost::json::array{item.m_key, item.m_revision, item.m_value});
+    }
+    return boost::json::serialize(out);
+}
+
+std::optional<std::vector<store_entry>> decode_items(std::string_view text) {
+    boost::json::error_code failed;
+    const boost::json::value parsed =
+        boost::json::parse(boost::json::string_view(text.data(), text.size()), failed);
+    if (failed || !parsed.is_array()) {
+        return std::nullopt;
+    }
+    std::vector<store_entry> items;
+    for (const boost::json::value& each : parsed.get_array()) {
+        const auto* row = each.if_array();
+        if (row == nullptr || row->size() != 3 || !(*row)[0].is_string() ||
+            !(*row)[2].is_string()) {
+            return std::nullopt;
+        }
+        store_entry item;
+        item.m_key = std::string((*row)[0].get_string());
+        item.m_revision = (*row)[1].to_number<std::uint64_t>(failed);
+        item.m_value = std::string((*row)[2].get_string());
+        if (failed) {
+            return std::nullopt;
+        }
+        items.push_back(std::move(item));
+    }
+    return items;
+}
+
+void tick_operator_watch(control& state, time_point now) {
+    operator_watch& watch = state.m_operator;
+    if (!watch.m_entry_written && !watch.m_entry_busy && now >= watch.m_entry_retry_at) {
+        write_entry(state);
+    }
+    if (!watch.m_records_read && !watch.m_records_busy && now >= watch.m_records_retry_at) {
+        read_records(state);
+    }
+    if (watch.m_busy || now < watch.m_retry_at) {
+        return;
+    }
+    if (!watch.m_listed || now >= watch.m_next_list) {
+        list_items(state);
+    } else {
+        watch_items(state);
+    }
+}
+
+} // namespace caraway
--- /dev/null
+++ b/src/node/server_reports.cpp
@@ -0,0 +1,140 @@
+// Takes the reports of the backend server beside this node, and tells the traffic side and the
+// members what became of it. The answer is an acknowledgement: what it says is in force here first.
+
+#include "node/control.hpp"
+#include "observe/log.hpp"
+#include "traffic/admin.hpp"
+
+namespace caraway {
+namespace {
+
+// A server that missed this many reports is taken for dead. Reports may come seconds late.
+constexpr int missed_reports = 4;
+
+// Tells the other nodes of a change in what they route by.
+void announce_server(control& state) {
+    perform(state, membership_update_self(state.m_members, true, state.now()));
+}
+
+void log_report(const server_report& report, report_verdict verdict) {
+    log_event(log_level::info, "server_report",
+              {{"server", report.m_server},
+               {"service", report.m_service},
+               {"version", report.m_version},
+               {"draining", report.m_state == server_state::draining},
+               {"warmup_ms", report.m_warmup_left.count()},
+               {"sequence", report.m_sequence},
+               {"verdict", report_verdict_name(verdict)}});
+}
+
+// True when the report says more than that the server still runs as before.
+bool is_news(const std::optional<server_report>& before, const server_report& after) {
+    return !before || before->m_server != after.m_server || before->m_state != after.m_state ||
+           before->m_started_ms != after.m_started_ms || before->m_slots != after.m_slots ||
+           (before->m_warmup_left.count() == 0) != (after.m_warmup_left.count() == 0);
+}
+
+admin_answer take_report(control& state, std::string_view server, std::string_view body) {
+    error reason;
+    const auto report = state.m_adapter.m_reports.m_decode_report(server, body, reason);
+    if (!report) {
+        log_event(log_level::warning, "server_report_unreadable",
+                  {{"server", server}, {"reason", reason.m_text}});
+        return {400, "application/json", "{}"};
+    }
+    const std::optional<server_report> before = state.m_own_server.m_report;
+    const report_verdict verdict = receive_report(
+        state.m_own_server, *report, state.m_settings.m_backend_server, state.now());
+    if (verdict != report_verdict::taken || is_news(before, *report)) {
+        log_report(*report, verdict);
+    }
+    refresh_own_server(state);
+    return {200, "application/json", "{}"};
+}
+
+admin_answer take_leave(control& state, std::string_view server, std::string_view body) {
+    error reason;
+    const auto leave = state.m_adapter.m_reports.m_decode_leave(server, body, reason);
+    if (!leave) {
+        log_event(log_level::warning, "server_leave_unreadable",
+                  {{"server", server}, {"reason", reason.m_text}});
+        return {400, "application/json", "{}"};
+    }
+    const report_verdict verdict = receive_leave(state.m_own_server, *leave);
+    log_event(log_level::info, "server_leave",
+              {{"server", server}, {"verdict", report_verdict_name(verdict)}});
+    refresh_own_server(state);
+    return {200, "application/json", "{}"};
+}
+
+} // namespace
+
+own_server_view view_own_server(const control& state) {
+    own_server_view view;
+    if (state.m_settings.m_reports.m_port == 0) {
+        view.m_service = state.m_settings.m_service;
+        view.m_version = state.m_settings.m_version;
+        return view;
+    }
+    view.m_service = state.m_settings.m_service;
+    const own_server& server = state.m_own_server;
+    view.m_refusal =
+        server_refusal(server, state.now(), missed_reports * state.m_settings.m_report_interval);
+    if (server.m_report) {
+        view.m_server = server.m_report->m_server;
+        view.m_service = server.m_report->m_service;
+        view.m_version = server.m_report->m_version;
+        view.m_slots = server.m_report->m_slots;
+        view.m_cold_until = server.m_cold_until;
+    }
+    return view;
+}
+
+void refresh_own_server(control& state) {
+    const own_server_view view = view_own_server(state);
+    if (view == state.m_own_view) {
+        return;
+    }
+    state.m_own_view = view;
+    member& self = state.m_members.m_self;
+    const bool takes_work = state.m_distribution.m_ready && view.m_refusal == error_kind::none;
+    const bool changed = self.m_ready != takes_work || self.m_service != view.m_service ||
+                         self.m_version != view.m_version;
+    self.m_ready = takes_work;
+    self.m_service = view.m_service;
+    self.m_version = view.m_version;
+    state.m_snapshot_dirty = true;
+    refresh_snapshot(state);
+    if (changed) {
+        log_event(log_level::info, "own_server",
+                  {{"server", view.m_server},
+                   {"service", view.m_service},
+                   {"version", view.m_version},
+                   {"takes_work", takes_work},
+                   {"refusal", answer_for(view.m_refusal).m_name}});
+        announce_server(state);
+    }
+}
+
+void note_unreachable_server(control& state, const std::string& server) {
+    own_server& own = state.m_own_server;
+    if (own.m_report && own.m_report->m_server == server && !own.m_unreachable) {
+        own.m_unreachable = true;
+        refresh_own_server(state);
+    }
+}
+
+admin_answer answer_server(control& state, const admin_request& request) {
+    const server_report_interface& reports = state.m_adapter.m_reports;
+    if (!request.m_get && request.m_path.starts_with(reports.m_report_path)) {
+        return take_report(state, request.m_path.substr(reports.m_report_path.size()),
+                           request.m_body);
+    }
+    if (!request.m_get && request.m_path.starts_with(reports.m_leave_path)) {
+        return take_leave(state, request.m_path.substr(reports.m_leave_path.size()),
+                          request.m_body);
+    }
+    return {404, "application/json", "{}"};
+}
+
+} // namespace caraway
--- a/src/node/snapshot_builder.cpp
+++ b/src/node/snapshot_builder.cpp
@@ -6,7 +6,8 @@
 // True if the data centre takes new work: it is in the text and not out.
 bool takes_work(const mesh& config, std::string_view data_centre) {
     const auto found = config.m_data_centres.find(data_centre);
-    return found != config.m_data_centres.end() && !found->second.m_out;
+    return found == config.m_data_centres.end() ? !config.m_lists_data_centres
+                                                : !found->second.m_out;
 }
 
 std::shared_ptr<backend_counters> counters_of(counter_map& counters, const std::string& instance) {
@@ -111,7 +112,7 @@
         return error_kind::version_not_served;
     }
     const service_spec& service = found->second;
-    if (self.m_version == service.m_version) {
+    if (is_old_version(service, self.m_version)) {
         return error_kind::none;
     }
     if (!service.m_move || self.m_version != service.m_move->m_to) {
@@ -129,6 +130,7 @@
     snapshot->m_ready = input.m_ready && input.m_mesh != nullptr;
     snapshot->m_draining = input.m_draining;
     snapshot->m_mesh = input.m_mesh;
+    snapshot->m_own = input.m_own;
     if (!input.m_mesh) {
         snapshot->m_own_refusal = error_kind::node_not_ready;
         return snapshot;
@@ -139,7 +141,7 @@
     }
     drop_forgotten(counters, members);
     member self = members.m_self;
-    self.m_ready = input.m_ready;
+    self.m_ready = input.m_ready && input.m_own.m_refusal == error_kind::none;
     self.m_state = input.m_draining ? member_state::left : member_state::alive;
     add_member(*snapshot, self, members.m_self, counters);
     for (const auto& [name, tracked] : members.m_members) {
@@ -152,6 +154,9 @@
     snapshot->m_own_data_centre_out = !takes_work(*input.m_mesh, self.m_data_centre);
     snapshot->m_own_refusal =
         own_refusal(*input.m_mesh, members.m_self, *input.m_facts, input.m_draining);
+    if (input.m_own.m_refusal != error_kind::none) {
+        snapshot->m_own_refusal = input.m_own.m_refusal;
+    }
     return snapshot;
 }
 
--- a/src/node/snapshot_builder.hpp
+++ b/src/node/snapshot_builder.hpp
@@ -25,6 +25,7 @@
     const fact_table* m_facts = nullptr;
     time_point m_now; // with m_wall_now, dates the departures of members
     wall_time m_wall_now;
+    own_server_view m_own;
 };
 
 // Builds the snapshot; adds counters for new instances and drops those of forgotten ones.
--- a/src/platform/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/store_client.hpp"
+#include "store/store_client.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -6,12 +6,10 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <charconv>
 #include <deque>
 
-#include <fmt/format.h>
+#include "base/dead_peer.hpp"
 
-#include "platform/store_json.hpp"
 
 namespace caraway {
 namespace {
@@ -29,12 +27,9 @@
 // A waiting watch may take this much longer than the wait that it asked for.
 constexpr milliseconds watch_grace{2'000};
 
-// One store call: the request and how long it may take.
+// One store call: the command and how long it may take.
 struct store_call {
-    std::string m_operation;
-    http::verb m_method = http::verb::get;
-    std::string m_target;
-    std::string m_body;
+    store_command m_command;
     milliseconds m_timeout{};
     store_callback m_done;
 };
@@ -48,94 +43,29 @@
     std::uint64_t m_received = 0;
 };
 
-// Escapes a key or prefix for use in a URL path or query.
-std::string escape(std::string_view text) {
-    std::string out;
-    for (const char c : text) {
-        const bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-                           (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.' || c == '/';
-        if (plain) {
-            out.push_back(c);
-        } else {
-            out += fmt::format("%{:02X}", static_cast<unsigned char>(c));
-        }
-    }
-    return out;
-}
-
-std::uint64_t parse_number(std::string_view text) {
-    std::uint64_t value = 0;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
-}
-
-// Maps an HTTP status of the store to an error kind.
-error_kind kind_of_status(unsigned status) {
-    switch (status) {
-    case 200:
-    case 204:
-        return error_kind::none;
-    case 404:
-        return error_kind::store_not_found;
-    case 409:
-        return error_kind::store_conflict;
-    case 410:
-        return error_kind::store_lease_lost;
-    case 413:
-        return error_kind::store_value_too_large;
-    case 429:
-        return error_kind::store_throttled;
-    default:
-        return error_kind::store_outcome_unknown;
-    }
-}
-
-// Turns an HTTP response into the reply of the operation.
-store_reply make_reply(const store_call& call, const exchange& finished) {
-    store_reply reply;
-    reply.m_kind = finished.m_kind;
-    reply.m_text = finished.m_text;
+// Turns an exchange into the reply of the operation.
+store_reply make_reply(const store_codec& codec, const store_command& command,
+                       const exchange& finished) {
     if (finished.m_kind != error_kind::none) {
+        store_reply reply;
+        reply.m_kind = finished.m_kind;
+        reply.m_text = finished.m_text;
         return reply;
     }
-    const auto& response = finished.m_response;
-    reply.m_kind = kind_of_status(response.result_int());
-    reply.m_revision = parse_number(response["x-revision"]);
-    if (reply.m_kind != error_kind::none) {
-        reply.m_text = fmt::format("status {}", response.result_int());
-        return reply;
-    }
-    if (call.m_operation == "get") {
-        reply.m_value = response.body();
-    } else if (call.m_operation == "list" || call.m_operation == "watch") {
-        if (response.body().empty()) {
-            return reply;
-        }
-        if (auto entries = decode_entries(response.body())) {
-            reply.m_entries = std::move(*entries);
-        } else {
-            reply.m_kind = error_kind::store_outcome_unknown;
-            reply.m_text = "malformed reply";
-        }
-    } else if (call.m_operation == "create_lease") {
-        if (auto lease = decode_lease(response.body())) {
-            reply.m_lease = std::move(*lease);
-        } else {
-            reply.m_kind = error_kind::store_outcome_unknown;
-            reply.m_text = "malformed reply";
-        }
-    }
-    return reply;
+    const auto revision = finished.m_response["x-revision"];
+    return codec.m_decode(command, {finished.m_response.result_int(),
+                                    {revision.data(), revision.size()},
+                                    finished.m_response.body()});
 }
 
 } // namespace
 
 class store_client::impl : public std::enable_shared_from_this<store_client::impl> {
 public:
-    impl(asio::io_context& context, std::vector<ip_endpoint> addresses, milliseconds timeout,
-         store_observer observer)
-        : m_context(context), m_addresses(std::move(addresses)), m_timeout(timeout),
-          m_observer(std::move(observer)) {}
+    impl(asio::io_context& context, std::vector<ip_endpoint> addresses, store_codec codec,
+         milliseconds timeout, store_observer observer)
+        : m_context(context), m_addresses(std::move(addresses)), m_codec(std::move(codec)),
+          m_timeout(timeout), m_observer(std::move(observer)) {}
 
     void start(store_call call) {
         asio::spawn(
@@ -145,10 +75,10 @@
                 if (self->m_stopped) {
                     return;
                 }
-                const store_reply reply = make_reply(call, finished);
+                const store_reply reply = make_reply(self->m_codec, call.m_command, finished);
                 if (self->m_observer) {
-                    self->m_observer(call.m_operation, reply.m_kind, finished.m_sent,
-                                     finished.m_received);
+                    self->m_observer(store_operation_name(call.m_command.m_operation), reply.m_kind,
+                                     finished.m_sent, finished.m_received);
                 }
                 call.m_done(reply);
             },
@@ -183,9 +113,16 @@
                 return out;
             }
         }
-        http::request<http::string_body> request(call.m_method, call.m_target, 11);
+        store_request wire = m_codec.m_encode(call.m_command);
+        http::request<http::string_body> request;
+        request.version(11);
+        request.method_string(wire.m_method);
+        request.target(wire.m_target);
         request.set(http::field::host, "store");
-        request.body() = call.m_body;
+        if (!wire.m_body.empty()) {
+            request.set(http::field::content_type, "application/json");
+        }
+        request.body() = std::move(wire.m_body);
         request.prepare_payload();
         stream->expires_after(call.m_timeout);
         out.m_sent = http::async_write(*stream, request, yield[ec]);
@@ -197,8 +134,7 @@
             out.m_response = parser.release();
         }
         if (ec) {
-            const bool reads_only = call.m_method == http::verb::get;
-            out.m_kind = reads_only || out.m_sent == 0 ? error_kind::store_unreachable
+            out.m_kind = is_read(call.m_command.m_operation) || out.m_sent == 0 ? error_kind::store_unreachable
                                                        : error_kind::store_outcome_unknown;
             out.m_text = ec.message();
             return out;
@@ -225,6 +161,7 @@
         }
         beast::error_code ignored;
         stream->socket().set_option(tcp::no_delay(true), ignored);
+        detect_dead_peer(stream->socket().native_handle());
         return stream;
     }
 
@@ -247,17 +184,48 @@
     asio::io_context& m_context;
     std::vector<ip_endpoint> m_addresses;
     std::size_t m_next_address = 0;
+    store_codec m_codec;
     milliseconds m_timeout;
     store_observer m_observer;
     std::deque<std::unique_ptr<beast::tcp_stream>> m_idle;
     bool m_stopped = false;
 };
 
+namespace {
+
+// Collects the pages of a list. Pages are not a snapshot: the revision kept is that of the first
+// one, so that a watch from there misses nothing.
+void list_pages(const std::function<void(store_call)>& start, store_command command,
+                milliseconds timeout, std::shared_ptr<store_reply> whole, store_callback done) {
+    store_call call{command, timeout, nullptr};
+    call.m_done = [start, command = std::move(command), timeout, whole = std::move(whole),
+                   done = std::move(done)](const store_reply& page) mutable {
+        const bool first = whole->m_revision == 0;
+        if (page.m_kind != error_kind::none || (first && !page.m_more)) {
+            done(page);
+            return;
+        }
+        whole->m_revision = first ? page.m_revision : whole->m_revision;
+        whole->m_entries.insert(whole->m_entries.end(), page.m_entries.begin(),
+                                page.m_entries.end());
+        if (!page.m_more || page.m_entries.empty()) {
+            done(*whole);
+            return;
+        }
+        command.m_after_key = page.m_entries.back().m_key;
+        list_pages(start, std::move(command), timeout, std::move(whole), std::move(done));
+    };
+    start(std::move(call));
+}
+
+} // namespace
+
 std::unique_ptr<store_client> store_client::create(asio::io_context& context,
                                                    std::vector<ip_endpoint> addresses,
-                                                   milliseconds timeout, store_observer observer) {
-    return std::unique_ptr<store_client>(new store_client(
-        std::make_shared<impl>(context, std::move(addresses), timeout, std::move(observer))));
+                                                   store_codec codec, milliseconds timeout,
+                                                   store_observer observer) {
+    return std::unique_ptr<store_client>(new store_client(std::make_shared<impl>(
+        context, std::move(addresses), std::move(codec), timeout, std::move(observer))));
 }
 
 store_client::store_client(std::shared_ptr<impl> implementation)
@@ -267,100 +235,96 @@
     m_impl->stop();
 }
 
+void store_client::run(store_command command, milliseconds timeout, store_callback done) {
+    m_impl->start({std::move(command), timeout, std::move(done)});
+}
+
+void store_client::run_list(store_operation operation, std::string_view prefix,
+                            store_callback done) {
+    store_command command;
+    command.m_operation = operation;
+    command.m_key = prefix;
+    const auto start = [implementation = m_impl](store_call call) {
+        implementation->start(std::move(call));
+    };
+    list_pages(start, std::move(command), m_impl->timeout(), std::make_shared<store_reply>(),
+               std::move(done));
+}
+
+void store_client::run_watch(store_operation operation, std::string_view prefix,
+                             std::uint64_t after, milliseconds wait, store_callback done) {
+    store_command command;
+    command.m_operation = operation;
+    command.m_key = prefix;
+    command.m_revision = after;
+    command.m_wait = wait;
+    run(std::move(command), wait + watch_grace, std::move(done));
+}
+
 void store_client::get(std::string_view key, store_callback done) {
-    m_impl->start(
-        {"get", http::verb::get, "/v1/kv/" + escape(key), {}, m_impl->timeout(), std::move(done)});
+    store_command command;
+    command.m_key = key;
+    run(std::move(command), m_impl->timeout(), std::move(done));
 }
 
 void store_client::put(std::string_view key, std::string_view value,
                        std::optional<std::uint64_t> if_revision, std::string_view lease,
                        store_callback done) {
-    std::string target = "/v1/kv/" + escape(key) + "?";
-    if (if_revision) {
-        target += fmt::format("if_revision={}", *if_revision);
-    }
-    if (!lease.empty()) {
-        target += "&lease=" + escape(lease);
-    }
-    m_impl->start({"put", http::verb::put, std::move(target), std::string(value), m_impl->timeout(),
-                   std::move(done)});
+    store_command command;
+    command.m_operation = store_operation::put;
+    command.m_key = key;
+    command.m_value = value;
+    command.m_if_revision = if_revision;
+    command.m_lease = lease;
+    run(std::move(command), m_impl->timeout(), std::move(done));
 }
 
 void store_client::remove(std::string_view key, std::optional<std::uint64_t> if_revision,
                           store_callback done) {
-    std::string target = "/v1/kv/" + escape(key);
-    if (if_revision) {
-        target += fmt::format("?if_revision={}", *if_revision);
-    }
-    m_impl->start(
-        {"remove", http::verb::delete_, std::move(target), {}, m_impl->timeout(), std::move(done)});
+    store_command command;
+    command.m_operation = store_operation::remove;
+    command.m_key = key;
+    command.m_if_revision = if_revision;
+    run(std::move(command), m_impl->timeout(), std::move(done));
 }
 
 void store_client::list(std::string_view prefix, store_callback done) {
-    m_impl->start({"list",
-                   http::verb::get,
-                   "/v1/list?prefix=" + escape(prefix),
-                   {},
-                   m_impl->timeout(),
-                   std::move(done)});
+    run_list(store_operation::list, prefix, std::move(done));
 }
 
 void store_client::watch(std::string_view prefix, std::uint64_t after, milliseconds wait,
                          store_callback done) {
-    m_impl->start({"watch",
-                   http::verb::get,
-                   fmt::format("/v1/watch?prefix={}&after={}&wait_ms={}", escape(prefix), after,
-                               wait.count()),
-                   {},
-                   wait + watch_grace,
-                   std::move(done)});
+    run_watch(store_operation::watch, prefix, after, wait, std::move(done));
 }
 
 void store_client::list_keys(std::string_view prefix, store_callback done) {
-    m_impl->start({"list",
-                   http::verb::get,
-                   "/v1/list?keys_only=1&prefix=" + escape(prefix),
-                   {},
-                   m_impl->timeout(),
-                   std::move(done)});
+    run_list(store_operation::list_keys, prefix, std::move(done));
 }
 
 void store_client::watch_keys(std::string_view prefix, std::uint64_t after, milliseconds wait,
                               store_callback done) {
-    m_impl->start({"watch",
-                   http::verb::get,
-                   fmt::format("/v1/watch?keys_only=1&prefix={}&after={}&wait_ms={}",
-                               escape(prefix), after, wait.count()),
-                   {},
-                   wait + watch_grace,
-                   std::move(done)});
+    run_watch(store_operation::watch_keys, prefix, after, wait, std::move(done));
 }
 
 void store_client::create_lease(milliseconds period, store_callback done) {
-    m_impl->start({"create_lease",
-                   http::verb::post,
-                   fmt::format("/v1/lease?ttl_ms={}", period.count()),
-                   {},
-                   m_impl->timeout(),
-                   std::move(done)});
+    store_command command;
+    command.m_operation = store_operation::create_lease;
+    command.m_period = period;
+    run(std::move(command), m_impl->timeout(), std::move(done));
 }
 
 void store_client::renew_lease(std::string_view lease, store_callback done) {
-    m_impl->start({"renew_lease",
-                   http::verb::post,
-                   "/v1/lease/" + escape(lease) + "/renew",
-                   {},
-                   m_impl->timeout(),
-                   std::move(done)});
+    store_command command;
+    command.m_operation = store_operation::renew_lease;
+    command.m_lease = lease;
+    run(std::move(command), m_impl->timeout(), std::move(done));
 }
 
 void store_client::end_lease(std::string_view lease, store_callback done) {
-    m_impl->start({"end_lease",
-                   http::verb::delete_,
-                   "/v1/lease/" + escape(lease),
-                   {},
-                   m_impl->timeout(),
-                   std::move(done)});
+    store_command command;
+    command.m_operation = store_operation::end_lease;
+    command.m_lease = lease;
+    run(std::move(command), m_impl->timeout(), std::move(done));
 }
 
 } // namespace caraway
--- a/src/platform/store_client.hpp
+++ b/src/store/store_client.hpp
@@ -13,6 +13,7 @@
 #include "base/clock.hpp"
 #include "base/error.hpp"
 #include "config/settings.hpp"
+#include "store/store_codec.hpp"
 
 namespace boost::asio {
 class io_context;
@@ -20,28 +21,6 @@
 
 namespace caraway {
 
-// One key of a list or watch reply.
-struct store_entry {
-    std::string m_key;
-    std::uint64_t m_revision = 0;
-    std::string m_value;
-    bool m_deleted = false;
-};
-
-// The reply to one store call. m_kind is none on success; store_conflict with the key's current
-// revision in m_revision when a compare-and-swap lost; store_not_found for an absent key;
-// store_lease_lost when the lease is gone; store_throttled at the rate limit; store_unreachable
-// when no byte of the request was sent; store_outcome_unknown when the request may have taken
-// effect.
-struct store_reply {
-    error_kind m_kind = error_kind::none;
-    std::uint64_t m_revision = 0;
-    std::string m_value;                // get
-    std::vector<store_entry> m_entries; // list, watch
-    std::string m_lease;                // create_lease
-    std::string m_text;                 // reason of a failure, for logs
-};
-
 using store_callback = std::function<void(const store_reply&)>;
 // Told of every finished call: operation name, result, bytes sent, bytes received.
 using store_observer =
@@ -53,7 +32,8 @@
 public:
     static std::unique_ptr<store_client> create(boost::asio::io_context& context,
                                                 std::vector<ip_endpoint> addresses,
-                                                milliseconds timeout, store_observer observer);
+                                                store_codec codec, milliseconds timeout,
+                                                store_observer observer);
     store_client(const store_client&) = delete;
     store_client& operator=(const store_client&) = delete;
     store_client(store_client&&) = delete;
@@ -83,6 +63,10 @@
 private:
     class impl;
     explicit store_client(std::shared_ptr<impl> implementation);
+    void run(store_command command, milliseconds timeout, store_callback done);
+    void run_list(store_operation operation, std::string_view prefix, store_callback done);
+    void run_watch(store_operation operation, std::string_view prefix, std::uint64_t after,
+                   milliseconds wait, store_callback done);
     std::shared_ptr<impl> m_impl; // calls under way keep it alive until they end
 };
 
--- a/src/platform/store_json.hpp
+++ b/src/store/store_json.hpp
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include "platform/store_client.hpp"
+#include "store/store_codec.hpp"
 
 namespace caraway {
 
--- a/src/traffic/admin.cpp
+++ b/src/traffic/admin.cpp
@@ -20,13 +20,14 @@
 // A request has to come and its answer has to be taken within this time.
 constexpr milliseconds connection_timeout{5'000};
 constexpr std::uint32_t max_request_header_bytes = 8U << 10U;
+constexpr std::uint64_t max_request_body_bytes = 64U << 10U;
 
 } // namespace
 
 class admin_server::impl : public std::enable_shared_from_this<impl> {
 public:
-    impl(asio::io_context& io, admin_handler handler)
-        : m_io(io), m_acceptor(io), m_handler(std::move(handler)) {}
+    impl(asio::io_context& io, admin_handler handler, methods allowed)
+        : m_io(io), m_acceptor(io), m_handler(std::move(handler)), m_allowed(allowed) {}
 
     bool listen(const ip_endpoint& at, error& reason) {
         if (!listen_at(m_acceptor, at, reason)) {
@@ -79,18 +80,21 @@
     void serve(beast::tcp_stream& stream, asio::yield_context yield) {
         stream.expires_after(connection_timeout);
         beast::flat_buffer buffer(std::size_t{2} * max_request_header_bytes);
-        http::request_parser<http::empty_body> parser;
+        http::request_parser<http::string_body> parser;
         parser.header_limit(max_request_header_bytes);
+        parser.body_limit(max_request_body_bytes);
         error_code failed;
         http::async_read(stream, buffer, parser, yield[failed]);
         if (failed || m_stopped) {
             return;
         }
         const auto target = parser.get().target();
+        const bool get = parser.get().method() == http::verb::get;
+        const bool known = get || (m_allowed == methods::get_and_post &&
+                                   parser.get().method() == http::verb::post);
         const admin_answer answer =
-            parser.get().method() == http::verb::get
-                ? m_handler(path_of({target.data(), target.size()}))
-                : admin_answer{405, "text/plain", "only GET is known here\n"};
+            known ? m_handler({get, path_of({target.data(), target.size()}), parser.get().body()})
+                  : admin_answer{405, "text/plain", "this method is not known here\n"};
         http_response message;
         message.version(11);
         message.result(answer.m_status);
@@ -105,13 +109,15 @@
     asio::io_context& m_io;
     tcp::acceptor m_acceptor;
     admin_handler m_handler;
+    methods m_allowed;
     std::size_t m_connections = 0;
     bool m_stopped = false;
 };
 
 std::unique_ptr<admin_server> admin_server::start(asio::io_context& io, const ip_endpoint& at,
-                                                  admin_handler handler, error& reason) {
-    auto implementation = std::make_shared<impl>(io, std::move(handler));
+                                                  admin_handler handler, error& reason,
+                                                  methods allowed) {
+    auto implementation = std::make_shared<impl>(io, std::move(handler), allowed);
     if (!implementation->listen(at, reason)) {
         return nullptr;
     }
--- a/src/traffic/admin.hpp
+++ b/src/traffic/admin.hpp
@@ -20,15 +20,24 @@
     std::string m_body;
 };
 
-// Called with the path of a GET request, on the thread that runs the io_context.
-using admin_handler = std::function<admin_answer(std::string_view path)>;
+// A request of a scraper, of a person or of the backend server.
+struct admin_request {
+    bool m_get = true; // GET; else POST
+    std::string_view m_path;
+    std::string_view m_body;
+};
+
+// Called with each request, on the thread that runs the io_context.
+using admin_handler = std::function<admin_answer(const admin_request&)>;
 
 // A server with few connections at a time, each closed after one answer.
 class admin_server {
 public:
+    enum class methods : std::uint8_t { get, get_and_post };
     // Binds the address and begins to accept. Fails with invalid_settings when it can't be bound.
     static std::unique_ptr<admin_server> start(boost::asio::io_context& io, const ip_endpoint& at,
-                                               admin_handler handler, error& reason);
+                                               admin_handler handler, error& reason,
+                                               methods allowed = methods::get);
     admin_server(const admin_server&) = delete;
     admin_server& operator=(const admin_server&) = delete;
     admin_server(admin_server&&) = delete;
--- a/src/traffic/admission_gate.cpp
+++ b/src/traffic/admission_gate.cpp
@@ -31,14 +31,24 @@
 admission_gate::admission_gate(boost::asio::io_context& io, const clock_source& clock)
     : m_clock(clock), m_timer(io), m_state(make_admission({})) {}
 
-void admission_gate::set_limits(std::uint64_t config_version, const service_spec& spec) {
+void admission_gate::set_limits(std::uint64_t config_version, const service_spec& spec,
+                                const own_server_view& server) {
     const std::lock_guard lock(m_mutex);
-    if (config_version <= m_config_version) {
+    if (config_version < m_config_version ||
+        (config_version == m_config_version && server == m_server)) {
         return;
     }
     m_config_version = config_version;
+    m_server = server;
+    const bool reports = server.m_slots != 0;
+    admission_limits limits;
     // A running call needs a connection of its own.
-    set_admission_limits(m_state, {std::min(spec.m_slots, spec.m_connections), spec.m_queue});
+    limits.m_slots = std::min(reports ? server.m_slots : spec.m_slots, spec.m_connections);
+    limits.m_queue = spec.m_queue;
+    limits.m_infers_cold = !reports;
+    limits.m_cold_until = server.m_cold_until;
+    limits.m_cold_per_second = spec.m_warmup_per_second;
+    set_admission_limits(m_state, limits);
     if (is_recording()) {
         record_input(part, "limits", m_clock.now(),
                      {{"slots", m_state.m_limits.m_slots}, {"queue", m_state.m_limits.m_queue}},
--- a/src/traffic/admission_gate.hpp
+++ b/src/traffic/admission_gate.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "decide/admission.hpp"
+#include "traffic/snapshot.hpp"
 #include "traffic/call_control.hpp"
 
 namespace caraway {
@@ -18,7 +19,8 @@
     admission_gate(boost::asio::io_context& io, const clock_source& clock);
 
     // Applies the limits of a configuration version if it is newer than the last one.
-    void set_limits(std::uint64_t config_version, const service_spec& spec);
+    void set_limits(std::uint64_t config_version, const service_spec& spec,
+                    const own_server_view& server = {});
 
     // Waits for a slot. False with the reason when the call is refused or ended while waiting;
     // true when it may run, and then leave() must follow. cold tells whether the cold-start limit
@@ -62,6 +64,7 @@
     mutable std::mutex m_mutex; // never held over input or output
     bool m_ticking = false;
     std::uint64_t m_config_version = 0;
+    own_server_view m_server;
     std::uint64_t m_next_call = 1;
     admission_state m_state;
     std::unordered_map<std::uint64_t, std::shared_ptr<waiting_call>> m_waiting;
--- a/src/traffic/claims_over_http.cpp
+++ b/src/traffic/claims_over_http.cpp
@@ -184,7 +184,7 @@
     set_number(request, header::exchange, number);
     set_number(request, header::deadline_ms, ms_left(control.deadline(), context.m_clock.now()));
     request.prepare_payload();
-    auto answer = exchange(control, *used, request, context.limits(), yield, reason);
+    auto answer = exchange(control, *used, request, context.limits(), nullptr, yield, reason);
     if (!answer) {
         return std::nullopt;
     }
--- a/src/traffic/connection_pool.hpp
+++ b/src/traffic/connection_pool.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -19,12 +20,15 @@
 namespace caraway {
 
 struct connection {
-    connection(boost::asio::io_context& io, ip_endpoint peer, std::size_t buffer_bytes)
-        : m_peer(std::move(peer)), m_socket(io), m_buffer(buffer_bytes) {}
+    connection(boost::asio::io_context& io, ip_endpoint peer, std::size_t buffer_bytes,
+               milliseconds max_idle_time)
+        : m_peer(std::move(peer)), m_socket(io), m_buffer(buffer_bytes),
+          m_max_idle_time(max_idle_time) {}
     ip_endpoint m_peer;
     tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer;
     time_point m_idle_since;
+    milliseconds m_max_idle_time; // the other side may close it soon after
     bool m_fresh = true;    // carried no request before the present one
     bool m_reusable = true; // the last answer was whole and the peer keeps the connection
 };
@@ -35,12 +39,12 @@
     std::uint64_t m_max_body_bytes = 1U << 20U;
 };
 
-// Idle connections by endpoint. source is the local IP address of new connections; empty: the
-// system chooses.
+// Idle connections by endpoint. max_idle_time counts for those whose other side states none. source
+// is the local IP address of new connections; empty: the system chooses.
 class connection_pool {
 public:
     connection_pool(boost::asio::io_context& io, const clock_source& clock,
-                    std::size_t max_idle_per_peer, std::size_t max_idle,
+                    std::size_t max_idle_per_peer, std::size_t max_idle, milliseconds max_idle_time,
                     std::string_view source = {});
 
     // An idle connection that is still open, or a new one. Fails with connect_failed (no byte was
@@ -60,6 +64,7 @@
     const clock_source& m_clock;
     std::size_t m_max_idle_per_peer;
     std::size_t m_max_idle;
+    milliseconds m_max_idle_time;
     std::optional<boost::asio::ip::address> m_source;
     std::mutex m_mutex; // never held over input or output
     bool m_closed = false;
@@ -67,11 +72,16 @@
     std::map<ip_endpoint, std::vector<std::unique_ptr<connection>>> m_idle;
 };
 
-// Sends the request and reads the whole answer. Fails with connection_cut when no byte of an
-// answer came, answer_truncated when it ended early or its end can't be known, answer_too_large, or
-// the call's end; the request may have been received in all these cases.
+// True for the answer to the request; an answer to an earlier one may arrive late before it.
+using answer_check = std::function<bool(const http_response&)>;
+
+// Sends the request and reads the whole answer; those that belong to another request are dropped.
+// An answer without a length ends with its connection, unless that is reset. Fails with
+// connection_cut when no byte of an answer came, answer_truncated when it ended early,
+// answer_too_large, or the call's end; the request may have been received in all these cases.
 std::optional<http_response> exchange(call_control& control, connection& used,
                                       const http_request& request, const exchange_limits& limits,
-                                      boost::asio::yield_context yield, error& reason);
+                                      const answer_check& belongs, boost::asio::yield_context yield,
+                                      error& reason);
 
 } // namespace caraway
--- a/src/traffic/http_message.cpp
+++ b/src/traffic/http_message.cpp
@@ -13,6 +13,9 @@
 namespace beast = boost::beast;
 
 constexpr std::uint64_t max_time_left_ms = 3'600'000;
+// When a refused caller may come again, in seconds. Queues turn over several times in a second, and
+// nodes learn of a lost server within one.
+constexpr const char* retry_after_s = "0.3";
 
 beast::string_view to_beast(std::string_view text) {
     return {text.data(), text.size()};
@@ -45,8 +48,13 @@
     return value;
 }
 
-std::optional<milliseconds> time_left(const http::fields& fields) {
-    const auto stated = number_header(fields, header::deadline_ms);
+std::string_view host_of(const http_request& request) {
+    const std::string_view host = header_of(request, "host");
+    return host.substr(0, host.rfind(':'));
+}
+
+std::optional<milliseconds> time_left(const http::fields& fields, std::string_view name) {
+    const auto stated = number_header(fields, name);
     if (!stated) {
         return std::nullopt;
     }
@@ -112,6 +120,9 @@
                                                    }));
     set_header(answer, header::outcome, outcome_name(row.m_outcome));
     set_header(answer, header::reason, row.m_name);
+    if (answer.result() == http::status::service_unavailable) {
+        answer.set(http::field::retry_after, retry_after_s);
+    }
     return answer;
 }
 
--- a/src/traffic/http_message.hpp
+++ b/src/traffic/http_message.hpp
@@ -53,9 +53,13 @@
 // Value of a header that holds a decimal number; nothing if absent or malformed.
 std::optional<std::uint64_t> number_header(const http::fields& fields, std::string_view name);
 
-// The time left that the sender states in its deadline header, at most an hour, so that no sum with
-// it overflows; nothing if absent or malformed.
-std::optional<milliseconds> time_left(const http::fields& fields);
+// The time left that the sender states in the header of that name, at most an hour, so that no sum
+// with it overflows; nothing if absent or malformed.
+std::optional<milliseconds> time_left(const http::fields& fields,
+                                      std::string_view name = header::deadline_ms);
+
+// The host that a request names, without a port; empty if none.
+std::string_view host_of(const http_request& request);
 
 // Sets a header, replacing what it held.
 void set_header(http::fields& fields, std::string_view name, std::string_view value);
--- a/src/traffic/snapshot.hpp
+++ b/src/traffic/snapshot.hpp
@@ -52,6 +52,17 @@
     std::vector<member_loss> m_losses;
 };
 
+// The backend server beside this node as calls may use it.
+struct own_server_view {
+    std::string m_server; // its identity, empty if it doesn't report itself
+    std::string m_service;
+    std::string m_version;
+    std::uint32_t m_slots = 0; // 0: those of the service
+    time_point m_cold_until;   // it says that it is cold until then
+    error_kind m_refusal = error_kind::none; // why it takes no new work now
+    friend bool operator==(const own_server_view&, const own_server_view&) = default;
+};
+
 struct routing_snapshot {
     std::uint64_t m_config_version = 0; // 0: nothing applied yet
     bool m_ready = false;
@@ -62,6 +73,7 @@
     // Reason why the own backend server takes no new work, none if it does:
     // version_suspended, version_not_served, data_centre_out, draining.
     error_kind m_own_refusal = error_kind::none;
+    own_server_view m_own;
     // Traffic address of every live member, for claims and results; dead ones are absent.
     std::map<std::string, ip_endpoint, std::less<>> m_member_traffic;
 };
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -109,7 +109,7 @@
         : m_io(static_cast<int>(std::max(1U, settings.m_threads))),
           m_context(settings, clock, snapshot, metrics, std::move(hooks), m_io),
           m_accept_strand(asio::make_strand(m_io)), m_upkeep_strand(asio::make_strand(m_io)),
-          m_acceptor(m_io), m_upkeep_timer(m_io),
+          m_acceptor(m_io), m_caller_acceptor(m_io), m_upkeep_timer(m_io),
           m_seed(settings.m_seed != 0 ? settings.m_seed : std::random_device{}()) {}
     impl(const impl&) = delete;
     impl& operator=(const impl&) = delete;
@@ -118,7 +118,10 @@
     ~impl() { stop(); }
 
     bool listen(error& reason) {
-        return listen_at(m_acceptor, m_context.m_settings.m_traffic, reason);
+        const node_settings& settings = m_context.m_settings;
+        return listen_at(m_acceptor, settings.m_traffic, reason) &&
+               (settings.m_callers.m_port == 0 ||
+                listen_at(m_caller_acceptor, settings.m_callers, reason));
     }
     void run();
     traffic_context& context() { return m_context; }
@@ -126,18 +129,20 @@
 
 private:
     void stop();
-    void accept_connections(asio::yield_context yield);
+    void accept_connections(tcp::acceptor& acceptor, bool callers_only, asio::yield_context yield);
     std::uint64_t next_seed();
     void refuse_connection(tcp::socket socket);
-    void serve(const std::shared_ptr<call_control>& control, asio::yield_context yield);
-    bool serve_one(call_control& control, boost::beast::flat_buffer& buffer,
+    void serve(const std::shared_ptr<call_control>& control, bool callers_only,
+               asio::yield_context yield);
+    bool serve_one(call_control& control, bool callers_only, boost::beast::flat_buffer& buffer,
                    asio::yield_context yield);
     error_code read_request(call_control& control, boost::beast::flat_buffer& buffer,
                             http::request_parser<http::string_body>& parser,
                             asio::yield_context yield);
     bool write_answer(call_control& control, http_response& answer, asio::yield_context yield);
     void linger(call_control& control, asio::yield_context yield);
-    call_reply dispatch(call_control& control, http_request& request, asio::yield_context yield);
+    call_reply dispatch(call_control& control, bool callers_only, http_request& request,
+                        asio::yield_context yield);
     void start_upkeep();
     bool health_probe_is_due() const;
     void probe_health();
@@ -146,7 +151,8 @@
     traffic_context m_context;
     io_strand m_accept_strand;
     io_strand m_upkeep_strand;
-    tcp::acceptor m_acceptor;
+    tcp::acceptor m_acceptor;        // of nodes, and of callers unless they have their own
+    tcp::acceptor m_caller_acceptor; // of callers only
     asio::steady_timer m_upkeep_timer;
     std::uint64_t m_seed;
     std::atomic<std::uint64_t> m_connection_number{0};
@@ -161,8 +167,15 @@
 
 void traffic_server::impl::run() {
     asio::spawn(
-        m_accept_strand, [this](asio::yield_context yield) { accept_connections(yield); },
+        m_accept_strand,
+        [this](asio::yield_context yield) { accept_connections(m_acceptor, false, yield); },
         asio::detached);
+    if (m_caller_acceptor.is_open()) {
+        asio::spawn(
+            m_accept_strand,
+            [this](asio::yield_context yield) { accept_connections(m_caller_acceptor, true, yield); },
+            asio::detached);
+    }
     start_upkeep();
     const std::size_t threads = std::max(1U, m_context.m_settings.m_threads);
     m_running_threads = threads;
@@ -182,6 +195,7 @@
     asio::post(m_accept_strand, [this] {
         error_code ignored;
         m_acceptor.close(ignored);
+        m_caller_acceptor.close(ignored);
     });
     asio::post(m_upkeep_strand, [this] { m_upkeep_timer.cancel(); });
     asio::post(m_io, [this] {
@@ -200,12 +214,13 @@
     }
 }
 
-void traffic_server::impl::accept_connections(asio::yield_context yield) {
+void traffic_server::impl::accept_connections(tcp::acceptor& acceptor, bool callers_only,
+                                              asio::yield_context yield) {
     asio::steady_timer pause(m_io);
     while (!m_stopping) {
         error_code failed;
         tcp::socket socket(m_io);
-        m_acceptor.async_accept(socket, yield[failed]);
+        acceptor.async_accept(socket, yield[failed]);
         if (m_stopping) {
             return;
         }
@@ -222,9 +237,9 @@
         auto control =
             call_control::create(m_io, std::move(socket), m_context.m_clock, next_seed());
         m_context.m_connections.add(control);
-        spawn_call(*control, [this](const auto& self, asio::yield_context inner) {
+        spawn_call(*control, [this, callers_only](const auto& self, asio::yield_context inner) {
             const control_membership membership(m_context.m_connections, self);
-            serve(self, inner);
+            serve(self, callers_only, inner);
         });
     }
 }
@@ -253,10 +268,10 @@
     });
 }
 
-void traffic_server::impl::serve(const std::shared_ptr<call_control>& control,
+void traffic_server::impl::serve(const std::shared_ptr<call_control>& control, bool callers_only,
                                  asio::yield_context yield) {
     boost::beast::flat_buffer buffer(m_context.m_settings.m_max_header_bytes + read_ahead_bytes);
-    while (!control->is_stopped() && serve_one(*control, buffer, yield)) {
+    while (!control->is_stopped() && serve_one(*control, callers_only, buffer, yield)) {
     }
     control->stop();
 }
@@ -298,8 +313,8 @@
 }
 
 // Serves one request. Returns whether the connection can carry another one.
-bool traffic_server::impl::serve_one(call_control& control, boost::beast::flat_buffer& buffer,
-                                     asio::yield_context yield) {
+bool traffic_server::impl::serve_one(call_control& control, bool callers_only,
+                                     boost::beast::flat_buffer& buffer, asio::yield_context yield) {
     http::request_parser<http::string_body> parser;
     const error_code failed = read_request(control, buffer, parser, yield);
     if (failed) {
@@ -324,7 +339,7 @@
     bool keep_alive = false;
     {
         const progress_guard in_progress(m_context.m_in_progress);
-        call_reply reply = dispatch(control, request, yield);
+        call_reply reply = dispatch(control, callers_only, request, yield);
         const bool cancelled = control.is_cancelled();
         control.end_call();
         if (cancelled) {
@@ -365,8 +380,12 @@
     }
 }
 
-call_reply traffic_server::impl::dispatch(call_control& control, http_request& request,
-                                          asio::yield_context yield) {
+call_reply traffic_server::impl::dispatch(call_control& control, bool callers_only,
+                                          http_request& request, asio::yield_context yield) {
+    if (callers_only) {
+        strip_internal(request, {});
+        return handle_entry(m_context, control, request, yield);
+    }
     const std::string_view target(request.target().data(), request.target().size());
     if (target.starts_with(node_path_prefix)) {
         call_reply reply;
@@ -422,7 +441,7 @@
                                                 reason);
         std::optional<http_response> answer;
         if (used) {
-            answer = exchange(*self, *used, request, m_context.limits(), yield, reason);
+            answer = exchange(*self, *used, request, m_context.limits(), nullptr, yield, reason);
             m_context.m_own_server.give_back(std::move(used));
         }
         self->end_call();
@@ -457,8 +476,9 @@
     traffic_context& context = m_impl->context();
     evidence_report report;
     report.m_instance = context.m_settings.m_instance;
-    report.m_service = context.m_settings.m_service;
-    report.m_version = context.m_settings.m_version;
+    const auto snapshot = context.m_snapshot.load();
+    report.m_service = snapshot->m_own.m_service;
+    report.m_version = snapshot->m_own.m_version;
     const std::lock_guard lock(context.m_evidence_mutex);
     report.m_routes.swap(context.m_evidence);
     return report;
--- a/src/traffic/traffic.hpp
+++ b/src/traffic/traffic.hpp
@@ -20,6 +20,8 @@
 struct traffic_hooks {
     // A peer's header named a higher configuration version than the own one.
     std::function<void(const std::string& instance, std::uint64_t version)> m_version_heard;
+    // The own backend server, by its identity, refuses connections.
+    std::function<void(const std::string& server)> m_server_unreachable;
 };
 
 // The traffic server with its threads.
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -21,7 +21,7 @@
 #include "decide/version_move.hpp"
 #include "observe/span.hpp"
 #include "peer/wire.hpp"
-#include "platform/store_json.hpp"
+#include "store/store_json.hpp"
 #include "traffic/http_message.hpp"
 
 namespace caraway {
