Watch the store from two members a data centre; choose servers by expected time

Servers of one service differ in speed by a factor of 3, which the choice did not know. Change: two members of each data centre watch, by rendezvous hash; one that can't reach the store says so in its member entry, and the next ones watch. The version is the revision of the latest change of an item. A starting node asks members first. Answers tell the server's smoothed latency and share of failures; the best of three is chosen by latency, outstanding calls, load and failures.

--- a/src/decide/admission.cpp
+++ b/src/decide/admission.cpp
@@ -284,6 +284,7 @@
     }
     const bool failed = sample.m_failed || sample.m_shed;
     const bool warm = at_slots(state);
+    state.m_failure_share += ((failed ? 1.0 : 0.0) - state.m_failure_share) / smoothing;
     state.m_recent_failures =
         ((state.m_recent_failures << 1U) | (failed ? 1U : 0U)) & failure_window;
     if (failed) {
@@ -339,6 +340,11 @@
            now - state.m_first_answer < state.m_limits.m_cold_hold || now < state.m_warming_until;
 }
 
+server_quality admission_quality(const admission_state& state) {
+    return {admission_load_permille(state),
+            static_cast<std::uint32_t>(1000 * state.m_failure_share), state.m_smoothed_latency};
+}
+
 // A server that just failed its only allowed call reports full load, so that the fast refusals of
 // a dead server don't attract calls. A warm server's limit rises as soon as it is used, so its load
 // is counted over its slots; otherwise quiet servers would look full and send calls elsewhere.
--- a/src/decide/admission.hpp
+++ b/src/decide/admission.hpp
@@ -42,6 +42,7 @@
     duration m_smoothed_latency{};
     std::uint32_t m_answers = 0; // successful ones since the smoothing began or the limit dropped
     std::uint32_t m_fast_answers = 0;    // in a row since the limit last changed
+    double m_failure_share = 0;          // of the last calls, smoothed
     std::uint32_t m_recent_failures = 0; // one bit for each of the last calls, newest lowest
     duration m_slow_smoothed{};   // smoothed over more answers; its least value is the best latency
     duration m_settled_latency{}; // smoothed latency at m_settled_at
@@ -109,6 +110,14 @@
 // answer is recent, or its latency still falls.
 bool is_cold(const admission_state& state, time_point now);
 
+// What the node tells callers of its backend server with every answer.
+struct server_quality {
+    std::uint32_t m_load_permille = 0;    // see admission_load_permille
+    std::uint32_t m_failure_permille = 0; // share of the last calls that failed
+    duration m_latency{};                 // smoothed, without the wait for a slot; 0: not known
+};
+server_quality admission_quality(const admission_state& state);
+
 // Load in 0..1000 that answers carry back: running and waiting calls over what may run
 // now, or over the slots of a warm server.
 std::uint32_t admission_load_permille(const admission_state& state);
--- a/src/decide/balance.cpp
+++ b/src/decide/balance.cpp
@@ -23,15 +23,49 @@
 // A trial call that never reports back (its caller went away) frees the breaker after this time.
 constexpr milliseconds breaker_trial_wait{2'000};
 
+// A failed call costs its caller as much as this many served ones take.
+constexpr double failure_cost = 10;
+// Reported failures fade to nothing within this age, so that a server that recovered is tried again.
+constexpr std::chrono::duration<double> failure_lifetime{4.0};
+// Reported latencies are compared for this long; an older one is taken for the usual one.
+constexpr std::chrono::duration<double> latency_lifetime{10.0};
+// Candidates compared for a call.
+constexpr std::size_t compared = 3;
+
+// What is left of a figure of the given age, from 1 down to 0.
+double freshness(const candidate& value, std::chrono::duration<double> lifetime) {
+    return std::clamp(1 - std::chrono::duration<double>(value.m_load_age) / lifetime, 0.0, 1.0);
+}
+
 // Reported load in permille, less the older it is.
 double faded_load(const candidate& value) {
-    const double age = std::chrono::duration<double>(value.m_load_age) / load_lifetime;
-    return age >= 1 ? 0 : value.m_load_permille * (1 - std::max(0.0, age));
+    return value.m_load_permille * freshness(value, load_lifetime);
+}
+
+// Latency in seconds as far as known, else the given usual one.
+double latency_or(const candidate& value, double usual) {
+    const bool known = value.m_latency > duration{} && freshness(value, latency_lifetime) > 0;
+    return known ? std::chrono::duration<double>(value.m_latency).count() : usual;
+}
+
+// Mean of the known latencies, in seconds; 1 if none is known.
+double usual_latency(std::span<const candidate> candidates) {
+    double sum = 0;
+    std::size_t known = 0;
+    for (const candidate& value : candidates) {
+        const double latency = latency_or(value, 0);
+        sum += latency;
+        known += latency > 0 ? 1 : 0;
+    }
+    return known == 0 ? 1 : sum / static_cast<double>(known);
 }
 
 // Cost of one more call on a candidate; the smaller is chosen.
-double cost(const candidate& value) {
-    return (1.0 + value.m_outstanding) * (1000 + faded_load(value));
+double cost(const candidate& value, double usual) {
+    const double failures =
+        value.m_failure_permille * freshness(value, failure_lifetime) / weight_unit;
+    return latency_or(value, usual) * (1.0 + value.m_outstanding) *
+           (weight_unit + faded_load(value)) * (1 + failure_cost * failures);
 }
 
 // Tiers are tried in this order: own data centre, others; then the same with open breakers.
@@ -40,53 +74,38 @@
            value.m_breaker_open == breaker_open;
 }
 
-// The better of two different random candidates of a tier.
-std::optional<std::size_t> better_of_two(std::span<const candidate> candidates, bool own,
-                                         bool breaker_open, random_source& random) {
-    std::size_t count = 0;
-    for (const candidate& value : candidates) {
-        count += in_tier(value, own, breaker_open) ? 1 : 0;
-    }
-    if (count == 0) {
-        return std::nullopt;
-    }
-    const std::size_t first = random.below(count);
-    std::size_t second = first;
-    if (count > 1) {
-        second = random.below(count - 1);
-        second += second >= first ? 1 : 0;
-    }
-    std::size_t first_index = 0;
-    std::size_t second_index = 0;
-    std::size_t seen = 0;
+// The best of a few different random candidates of a tier.
+std::optional<std::size_t> best_of_few(std::span<const candidate> candidates, bool own,
+                                       bool breaker_open, double usual, random_source& random) {
+    std::vector<std::size_t> tier;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (!in_tier(candidates[i], own, breaker_open)) {
-            continue;
+        if (in_tier(candidates[i], own, breaker_open)) {
+            tier.push_back(i);
         }
-        if (seen == first) {
-            first_index = i;
-        }
-        if (seen == second) {
-            second_index = i;
+    }
+    std::optional<std::size_t> best;
+    for (std::size_t n = 0; n < compared && n < tier.size(); ++n) {
+        std::swap(tier[n], tier[n + random.below(tier.size() - n)]);
+        if (!best || cost(candidates[tier[n]], usual) < cost(candidates[*best], usual)) {
+            best = tier[n];
         }
-        ++seen;
     }
-    return cost(candidates[second_index]) < cost(candidates[first_index]) ? second_index
-                                                                          : first_index;
+    return best;
 }
 
 } // namespace
 
-// Stays in the own data centre until the better of two local candidates nears its queue. Comparing
-// only two bounds the herding of many callers on the one server that last reported a low load.
+// Stays in the own data centre until the best of a few local candidates nears its queue. Comparing
+// only a few bounds the herding of many callers on the one server that last reported a low load.
 std::optional<std::size_t> choose_candidate(std::span<const candidate> candidates,
                                             random_source& random) {
+    const double usual = usual_latency(candidates);
     for (const bool breaker_open : {false, true}) {
-        const auto local = better_of_two(candidates, true, breaker_open, random);
+        const auto local = best_of_few(candidates, true, breaker_open, usual, random);
         if (local && faded_load(candidates[*local]) < spill_load_permille) {
             return local;
         }
-        const auto remote = better_of_two(candidates, false, breaker_open, random);
+        const auto remote = best_of_few(candidates, false, breaker_open, usual, random);
         if (local && remote) {
             const bool spill = faded_load(candidates[*remote]) + spill_margin_permille <
                                faded_load(candidates[*local]);
--- a/src/decide/balance.hpp
+++ b/src/decide/balance.hpp
@@ -19,13 +19,16 @@
     bool m_usable = true;            // serves the chosen version, not suspended, not left, not out
     std::uint32_t m_outstanding = 0; // calls under way from this node
     std::uint32_t m_load_permille = 0; // last load that an answer carried back
-    duration m_load_age{};             // since that answer; old loads count less
+    std::uint32_t m_failure_permille = 0; // share of its calls that failed, from that answer
+    duration m_latency{};                 // of its calls, from that answer; 0: not known
+    duration m_load_age{};                // since that answer; what is old counts less
     bool m_breaker_open = false;
     bool m_tried = false; // already refused this call
 };
 
-// Chooses between two random candidates by outstanding calls and reported load; the own data
-// centre first, others when both local ones are close to their queues. Candidates with an open
+// Chooses among a few random candidates by the time that a call is expected to take there: latency,
+// outstanding calls, reported load and failures; the own data centre first, others when the local
+// ones are close to their queues. Candidates with an open
 // breaker are used only when nothing else is left. Returns an index into candidates.
 std::optional<std::size_t> choose_candidate(std::span<const candidate> candidates,
                                             random_source& random);
--- a/src/decide/membership.hpp
+++ b/src/decide/membership.hpp
@@ -50,6 +50,7 @@
     ip_endpoint m_bulk;
     std::uint64_t m_config_version = 0; // in force there, latest one heard from the instance itself
     bool m_ready = false;               // has applied a configuration and takes calls
+    bool m_store_lost = false;          // tries in vain to reach the store
     friend bool operator==(const member&, const member&) = default;
 };
 
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -77,11 +77,17 @@
 
 // Reads of the operators' items where no accepter stands between.
 struct operator_watch {
-    bool m_reached = false; // the store answered the last call
+    bool m_reached = false;   // the store answered the last call
+    bool m_candidate = false; // one of those that watch
+    time_point m_next_check;
+    time_point m_lost_since;
+    std::uint32_t m_failures = 0; // since the last answer
     bool m_busy = false;
     bool m_listed = false; // all items were read, and m_after is known
     std::uint64_t m_after = 0;
+    std::uint64_t m_deleted_at = 0;             // revision of the latest deletion seen
     std::map<std::string, store_entry> m_items; // by key
+    time_point m_begin_at;
     time_point m_retry_at;
     time_point m_next_list;
     bool m_entry_written = false;
--- a/src/node/join.cpp
+++ b/src/node/join.cpp
@@ -63,13 +63,25 @@
 
 // Asks some of the known members and the entry points, as soon as the store has named these. With a
 // pause in between, as after a failed attempt, a restarted node missed 18 s while most members were
-// cut off. Without the store the known members alone are asked.
+// cut off. Without the store the known members alone are asked; where every node is an entry point,
+// every other attempt spares the store a call.
 void ask_members(control& state) {
+    std::vector<ip_endpoint> known = known_targets(state);
+    if (state.reads_operator_items() && !known.empty() && state.m_join.m_failures % 2 == 1) {
+        std::shuffle(known.begin(), known.end(), state.m_random);
+        known.resize(std::min(known.size(), join_targets));
+        for (const ip_endpoint& target : known) {
+            join_through(state, target);
+        }
+        return;
+    }
     state.m_join.m_store_busy = true;
     state.m_store->list(entry_prefix, [&state](const store_reply& reply) {
         state.m_join.m_store_busy = false;
         std::vector<ip_endpoint> targets = known_targets(state);
         for (const store_entry& entry : reply.m_entries) {
+            state.m_operator.m_entry_written |=
+                entry.m_value == format_endpoint(state.m_settings.m_announce_bulk);
             const auto address = parse_endpoint(entry.m_value);
             if (address && *address != state.m_settings.m_announce_bulk) {
                 targets.push_back(*address);
--- a/src/node/move_control.cpp
+++ b/src/node/move_control.cpp
@@ -327,7 +327,9 @@
         return false;
     }
     const bool candidate = refresh_candidate(
-        state, lease, now, [service](const member& m) { return m.m_service == service->m_name; });
+        state, lease, now, [service](const member& m) {
+            return m.m_service == service->m_name && !m.m_store_lost;
+        });
     return lease.m_keeper.m_held || candidate;
 }
 
--- a/src/node/operator_watch.cpp
+++ b/src/node/operator_watch.cpp
@@ -1,6 +1,7 @@
 // Reads the operators' configuration and orders straight from the store, where the store itself
-// accepts only what is valid. All items below one prefix make one text, whose version is the store's
-// revision: it rises with every change, and nodes that can't reach the store get it from members.
+// accepts only what is valid. All items below one prefix make one text, whose version is the revision
+// of its latest change. A few members of each data centre watch the store, so that
+// its calls don't grow with the fleet; the others get each text from members.
 
 #include <algorithm>
 
@@ -16,15 +17,40 @@
 
 // How long a watch waits at the store. A dead connection is noticed earlier, by keep-alive probes.
 constexpr milliseconds watch_wait{10'000};
-// Pause after a failed call, with as much again at random, so that a fleet doesn't call in step.
-constexpr milliseconds retry_pause{150};
+// Pause after the first failed call, doubled up to the longest one, with as much again at random, so
+// that a fleet doesn't call in step.
+constexpr milliseconds retry_pause{100};
+constexpr milliseconds longest_retry_pause{800};
+// Members of a data centre that watch: more than one, so that a change arrives while one of them
+// fails.
+constexpr std::size_t watchers_per_data_centre = 2;
+// How often the watchers are worked out anew.
+constexpr milliseconds candidate_interval{500};
+// Failed calls after which a watcher tells the others, so that the next ones watch.
+constexpr std::uint32_t failures_before_lost = 2;
+// A node that no longer tries the store forgets after this time that it couldn't reach it.
+constexpr milliseconds lost_retention{5'000};
 // The whole prefix is read this often, in case a watch missed a change.
 constexpr milliseconds relist_interval{30'000};
 
+// Tells the members whether this node reaches the store.
+void announce_store(control& state, bool lost) {
+    if (state.m_members.m_self.m_store_lost != lost) {
+        state.m_members.m_self.m_store_lost = lost;
+        state.m_operator.m_lost_since = state.now();
+        state.m_operator.m_next_check = state.now();
+        perform(state, membership_update_self(state.m_members, true, state.now()));
+    }
+}
+
 void note_store(control& state, const store_reply& reply) {
     operator_watch& watch = state.m_operator;
     const bool reached = reply.m_kind == error_kind::none ||
                          reply.m_kind == error_kind::store_not_found;
+    watch.m_failures = reached ? 0 : watch.m_failures + 1;
+    if (reached || watch.m_failures >= failures_before_lost) {
+        announce_store(state, !reached);
+    }
     if (reached != watch.m_reached) {
         watch.m_reached = reached;
         log_event(log_level::info, reached ? "store_regained" : "store_lost",
@@ -33,9 +59,11 @@
 }
 
 void pause_watch(control& state) {
+    const std::uint32_t doublings = std::min(state.m_operator.m_failures, 8U);
+    const milliseconds pause = std::min(retry_pause * (1U << doublings), longest_retry_pause);
     state.m_operator.m_retry_at =
-        state.now() + retry_pause +
-        milliseconds(state.m_random.below(static_cast<std::uint64_t>(retry_pause.count())));
+        state.now() + pause +
+        milliseconds(state.m_random.below(static_cast<std::uint64_t>(pause.count())));
 }
 
 // Takes over the items as the text of the revision, unless they are those of the text held.
@@ -52,8 +80,15 @@
     auto text = std::make_shared<const std::string>(encode_items(items));
     const std::uint64_t hash = hash_bytes(*text);
     const auto& texts = state.m_distribution.m_texts;
-    const bool known = !texts.empty() && texts.rbegin()->second.m_hash == hash;
-    const std::uint64_t version = known ? texts.rbegin()->first : watch.m_after;
+    std::uint64_t version = watch.m_deleted_at;
+    for (const store_entry& item : items) {
+        version = std::max(version, item.m_revision);
+    }
+    if (!texts.empty() && texts.rbegin()->first >= version) {
+        // A list doesn't tell when an item was deleted; other content needs a version of its own.
+        const bool known = texts.rbegin()->second.m_hash == hash;
+        version = known ? texts.rbegin()->first : watch.m_after;
+    }
     perform(state, decide_store_read(state, config_text{version, hash, std::move(text)}));
 }
 
@@ -95,6 +130,7 @@
         watched.m_after = std::max(watched.m_after, reply.m_revision);
         for (const store_entry& entry : reply.m_entries) {
             if (entry.m_deleted) {
+                watched.m_deleted_at = std::max(watched.m_deleted_at, entry.m_revision);
                 watched.m_items.erase(entry.m_key);
             } else {
                 watched.m_items.insert_or_assign(entry.m_key, entry);
@@ -147,6 +183,37 @@
     });
 }
 
+// A node that has just started waits this long for others that start with it, and for what they
+// know, before it takes part itself: a fleet that starts together would else call all at once.
+constexpr milliseconds start_spread{600};
+
+// A starting node that doesn't watch asks the store for the configuration after this time.
+constexpr milliseconds members_first_time{700};
+
+// Works out whether this node watches: it is among the first of its data centre, or among the first
+// of those that reach the store.
+void refresh_watcher(control& state, time_point now) {
+    operator_watch& watch = state.m_operator;
+    if (now < watch.m_next_check) {
+        return;
+    }
+    watch.m_next_check = now + candidate_interval;
+    const member& self = state.m_members.m_self;
+    const std::string role = "watcher/" + self.m_data_centre;
+    const auto beside = [&self](const member& m) { return m.m_data_centre == self.m_data_centre; };
+    const auto reaching = [&beside](const member& m) { return beside(m) && !m.m_store_lost; };
+    const bool candidate =
+        is_candidate(state, role, watchers_per_data_centre, beside) ||
+        (!self.m_store_lost && is_candidate(state, role, watchers_per_data_centre, reaching));
+    if (candidate != watch.m_candidate) {
+        watch.m_candidate = candidate;
+        log_event(log_level::info, candidate ? "store_watch_begun" : "store_watch_ended", {});
+    }
+    if (!candidate && self.m_store_lost && now - watch.m_lost_since > lost_retention) {
+        announce_store(state, false);
+    }
+}
+
 } // namespace
 
 std::string encode_items(std::span<const store_entry> items) {
@@ -185,10 +252,23 @@
 
 void tick_operator_watch(control& state, time_point now) {
     operator_watch& watch = state.m_operator;
+    refresh_watcher(state, now);
+    if (watch.m_begin_at == time_point{}) {
+        watch.m_begin_at = now + milliseconds(state.m_random.below(start_spread.count()));
+    }
+    if (now < watch.m_begin_at) {
+        return;
+    }
+    // A node that got no configuration from members reads it from the store, whoever watches.
+    const bool starting =
+        !state.m_distribution.m_ready && now >= watch.m_begin_at + members_first_time;
+    if (!watch.m_candidate && !starting) {
+        return;
+    }
     if (!watch.m_entry_written && !watch.m_entry_busy && now >= watch.m_entry_retry_at) {
         write_entry(state);
     }
-    if (!watch.m_records_read && !watch.m_records_busy && now >= watch.m_records_retry_at) {
+    if (!watch.m_records_read && watch.m_candidate && !watch.m_records_busy && now >= watch.m_records_retry_at) {
         read_records(state);
     }
     if (watch.m_busy || now < watch.m_retry_at) {
--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -83,6 +83,7 @@
     put_endpoint(*to.mutable_bulk(), from.m_bulk);
     to.set_config_version(from.m_config_version);
     to.set_ready(from.m_ready);
+    to.set_store_lost(from.m_store_lost);
     to.set_first_incarnation(from.m_first_incarnation);
     to.set_lost_ms(from.m_lost_ms);
 }
@@ -100,6 +101,7 @@
     out.m_bulk = get_endpoint(from.bulk());
     out.m_config_version = from.config_version();
     out.m_ready = from.ready();
+    out.m_store_lost = from.store_lost();
     out.m_first_incarnation = from.first_incarnation();
     out.m_lost_ms = from.lost_ms();
     return out;
--- a/src/traffic/admission_gate.cpp
+++ b/src/traffic/admission_gate.cpp
@@ -148,6 +148,11 @@
     return waited > abnormal_wait_factor * m_state.m_best_latency;
 }
 
+server_quality admission_gate::quality() const {
+    const std::lock_guard lock(m_mutex);
+    return admission_quality(m_state);
+}
+
 void admission_gate::drain() {
     const std::lock_guard lock(m_mutex);
     const admission_release release = admission_drain(m_state);
--- a/src/traffic/admission_gate.hpp
+++ b/src/traffic/admission_gate.hpp
@@ -38,6 +38,8 @@
     void drain();
 
     std::uint32_t load_permille() const { return m_load.load(std::memory_order_relaxed); }
+    // What answers tell of the backend server.
+    server_quality quality() const;
     // Running and waiting calls and the present limit.
     struct figures {
         std::uint32_t m_running = 0;
--- a/src/traffic/backend_side.cpp
+++ b/src/traffic/backend_side.cpp
@@ -290,7 +290,11 @@
     }
     reply.m_version = context.m_snapshot.load()->m_own.m_version;
     set_header(reply.m_message, header::backend_version, reply.m_version);
-    set_number(reply.m_message, header::load, context.m_gate.load_permille());
+    const server_quality quality = context.m_gate.quality();
+    set_number(reply.m_message, header::load, quality.m_load_permille);
+    set_number(reply.m_message, header::failures, quality.m_failure_permille);
+    set_number(reply.m_message, header::latency_us,
+               static_cast<std::uint64_t>(to_us(quality.m_latency)));
     return reply;
 }
 
--- a/src/traffic/entry_side.cpp
+++ b/src/traffic/entry_side.cpp
@@ -20,6 +20,9 @@
 // Tokens of the retry budget kept at most, as a multiple of the first ones.
 constexpr double max_retry_bursts = 10;
 
+// Latency above which a stated one says no more.
+constexpr std::uint64_t max_latency_us = 3'600'000'000;
+
 // One call at the entry side, over all of its attempts.
 struct entry_call {
     call_info m_info;
@@ -89,6 +92,9 @@
                          !(backend.m_own && call.m_snapshot->m_own_refusal != error_kind::none);
         entry.m_outstanding = counters.m_outstanding.load(std::memory_order_relaxed);
         entry.m_load_permille = counters.m_load_permille.load(std::memory_order_relaxed);
+        entry.m_failure_permille = counters.m_failure_permille.load(std::memory_order_relaxed);
+        entry.m_latency =
+            std::chrono::microseconds(counters.m_latency_us.load(std::memory_order_relaxed));
         entry.m_load_age = now - from_us(counters.m_load_at_us.load(std::memory_order_relaxed));
         entry.m_breaker_open = breaker_is_open(load_breaker(counters), now);
         entry.m_tried = call.m_tried[i];
@@ -140,6 +146,16 @@
         backend.m_counters->m_load_at_us.store(to_us(now.time_since_epoch()),
                                                std::memory_order_relaxed);
     }
+    if (const auto failures = number_header(answer, header::failures)) {
+        backend.m_counters->m_failure_permille.store(
+            static_cast<std::uint32_t>(std::min<std::uint64_t>(*failures, 1000)),
+            std::memory_order_relaxed);
+    }
+    if (const auto latency = number_header(answer, header::latency_us)) {
+        backend.m_counters->m_latency_us.store(
+            static_cast<std::int64_t>(std::min<std::uint64_t>(*latency, max_latency_us)),
+            std::memory_order_relaxed);
+    }
     context.note_version(header_of(answer, header::instance),
                          number_header(answer, header::config_version).value_or(0),
                          call.m_snapshot->m_config_version);
--- a/src/traffic/http_message.hpp
+++ b/src/traffic/http_message.hpp
@@ -32,6 +32,9 @@
 constexpr std::string_view outcome = "x-caraway-outcome";
 constexpr std::string_view reason = "x-caraway-reason";
 constexpr std::string_view load = "x-caraway-load";
+// The backend server's smoothed latency in microseconds, and its failures in permille of its calls.
+constexpr std::string_view latency_us = "x-caraway-latency-us";
+constexpr std::string_view failures = "x-caraway-failures";
 constexpr std::string_view replayed = "x-caraway-replayed";
 constexpr std::string_view backend_shed = "x-caraway-backend-shed";
 // Number of one exchange between two nodes, repeated in the answer. An answer with another number
--- a/src/traffic/snapshot.hpp
+++ b/src/traffic/snapshot.hpp
@@ -20,6 +20,8 @@
 struct backend_counters {
     std::atomic<std::uint32_t> m_outstanding{0};
     std::atomic<std::uint32_t> m_load_permille{0};
+    std::atomic<std::uint32_t> m_failure_permille{0};
+    std::atomic<std::int64_t> m_latency_us{0};
     std::atomic<std::int64_t> m_load_at_us{0}; // steady clock, microseconds
     std::atomic<std::uint32_t> m_failures{0};  // consecutive failures to reach it
     std::atomic<std::int64_t> m_open_until_us{0};
