Begin moves that are ordered with a duration; refuse calls that would wait past their target latency

Change: the deadline of an ordered move counts from when the order was first seen. Calls carry when their answer loses most of its worth, and the gate refuses one that would wait past it. Log lines go to standard output, batched on the platform, never blocking, with a count of dropped ones.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -48,7 +48,8 @@
     "behind_wait", "retry_budget_percent", "retry_burst"};
 constexpr std::array<std::string_view, 3> results_keys{"retention", "entries", "bytes"};
 constexpr std::array<std::string_view, 2> shutdown_keys{"drain_timeout", "announce_time"};
-constexpr std::array<std::string_view, 2> log_keys{"trace_spans", "record_lines"};
+constexpr std::array<std::string_view, 3> log_keys{"trace_spans", "record_lines",
+                                                   "flush_interval"};
 constexpr std::array<std::string_view, 1> random_keys{"seed"};
 
 bool read_endpoint(const table_reader& reader, std::string_view key, presence need,
@@ -278,6 +279,8 @@
     const table_reader log = sections.open("log", log_keys);
     log.read_bool("trace_spans", optional, settings.m_trace_spans);
     log.read_integer("record_lines", optional, 0U, 1'000'000U, settings.m_record_lines);
+    log.read_duration("flush_interval", optional, milliseconds(0), milliseconds(10'000),
+                      settings.m_flush_interval);
     sections.open("random", random_keys)
         .read_integer("seed", optional, std::uint64_t{0},
                       static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()),
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -96,6 +96,8 @@
     bool m_trace_spans = true;
     // Recorded inputs of decisions that may wait to be written; 0 = not recorded.
     std::uint32_t m_record_lines = 0;
+    // Log lines are written together at this interval; 0: each at once.
+    milliseconds m_flush_interval{0};
     // [random]
     std::uint64_t m_seed = 0; // 0 = from the random device at start
     // Not in the file: set by the deployment's adapter.
--- a/src/decide/admission.cpp
+++ b/src/decide/admission.cpp
@@ -228,7 +228,7 @@
 // The queue is kept in order of service. The estimate of the wait refuses a call only behind calls
 // that are at least as urgent, so that no urgent call is refused while less urgent ones wait.
 admission_result admission_offer(admission_state& state, std::uint64_t call, urgency level,
-                                 time_point deadline, time_point now) {
+                                 time_point deadline, time_point now, time_point useful_until) {
     admission_result result;
     if (state.m_draining) {
         result.m_reason = error_kind::draining;
@@ -252,7 +252,8 @@
         !state.m_queue.empty() && state.m_queue.back().m_urgency > waiting.m_urgency;
     if (!less_urgent_wait) {
         const auto ahead = place - state.m_queue.begin() + 1;
-        if (now + expected_time(state, static_cast<std::uint32_t>(ahead), now) > deadline) {
+        const time_point latest = useful_until > now ? std::min(deadline, useful_until) : deadline;
+        if (now + expected_time(state, static_cast<std::uint32_t>(ahead), now) > latest) {
             result.m_reason = full;
             return result;
         }
--- a/src/decide/admission.hpp
+++ b/src/decide/admission.hpp
@@ -75,8 +75,11 @@
 
 // A call asks for a slot. Refuses when draining, when its deadline cannot be met given the
 // smoothed latency and the queue before it, or when the queue is full of calls at least as urgent.
+// useful_until, if it lies ahead, is when an answer loses most of its worth: a call that would wait
+// past it is refused, too, since in an overload that lasts, all calls would else be served late.
 admission_result admission_offer(admission_state& state, std::uint64_t call, urgency level,
-                                 time_point deadline, time_point now);
+                                 time_point deadline, time_point now,
+                                 time_point useful_until = {});
 
 // How a call that ran ended.
 struct call_sample {
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -123,6 +123,7 @@
 struct move_role {
     std::optional<lease_role> m_lease; // while the mesh has a move of the own service
     std::string m_move_id;
+    time_point m_ordered_at; // when the move was first seen in the text
     bool m_busy = false;
     bool m_own = false;   // the record names this node
     bool m_fresh = false; // the record was read since the lease was won
--- a/src/node/move_control.cpp
+++ b/src/node/move_control.cpp
@@ -52,6 +52,7 @@
         return;
     }
     role.m_move_id = id;
+    role.m_ordered_at = state.now();
     role.m_own = false;
     role.m_fresh = false;
     role.m_record.reset();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -117,6 +117,7 @@
         tick_resync(m_state, now);
         refresh_gauges(now);
         flush_recording();
+        flush_lines(now);
         if (m_stop_at && continue_shut_down(now)) {
             return;
         }
@@ -253,6 +254,13 @@
         }
     }
 
+    void flush_lines(time_point now) {
+        if (now >= m_next_flush) {
+            m_next_flush = now + m_state.m_settings.m_flush_interval;
+            flush_log();
+        }
+    }
+
     // Refuses new work once the leave has had time to spread. Ends the process, and returns true,
     // once nothing runs any more or the drain timeout has passed.
     bool continue_shut_down(time_point now) {
@@ -270,6 +278,8 @@
         }
         log_event(log_level::info, "drained", {{"calls_cut", static_cast<std::uint64_t>(left)}});
         flush_recording();
+        batch_log(false);
+        flush_log();
         m_context.stop();
         return true;
     }
@@ -279,6 +289,7 @@
     std::unique_ptr<admin_server> m_admin;
     std::unique_ptr<admin_server> m_reports;
     boost::asio::steady_timer m_timer;
+    time_point m_next_flush;
     std::optional<time_point> m_stop_at; // set by shut_down: the drain timeout
     time_point m_stop_least;             // the process stays up until then
     time_point m_refuse_at;              // new work is refused from then on
@@ -287,6 +298,7 @@
 std::unique_ptr<node> node::start(boost::asio::io_context& context, const node_settings& settings,
                                   adapter surroundings, const clock_source& clock, error& reason) {
     log_identity(settings.m_instance, settings.m_data_centre, log_level::info);
+    batch_log(settings.m_flush_interval.count() > 0);
     begin_recording(settings, clock.now());
     auto implementation = std::make_unique<impl>(context, settings, std::move(surroundings), clock);
     if (!implementation->open(reason)) {
--- a/src/node/recorded.cpp
+++ b/src/node/recorded.cpp
@@ -310,15 +310,21 @@
 move_record decide_start(const control& state, const service_spec& service) {
     const wall_time wall = state.m_clock.wall_now();
     const std::string& id = state.m_move.m_move_id;
+    // A duration counts from the order, which this node saw some time ago.
+    const auto since = std::chrono::duration_cast<milliseconds>(state.now() -
+                                                                state.m_move.m_ordered_at);
+    const wall_time deadline = service.m_move->m_order == 0
+                                   ? service.m_move->m_deadline
+                                   : wall + service.m_move->m_duration - since;
     move_record record = start_move(id, service.m_name, service.m_version, service.m_move->m_to,
-                                    service.m_move->m_deadline, state.m_settings.m_instance, wall);
+                                    deadline, state.m_settings.m_instance, wall);
     if (is_recording()) {
         record_input(move_part, "start", state.now(),
                      {{"move", id},
                       {"service", service.m_name},
                       {"from", service.m_version},
                       {"to", service.m_move->m_to},
-                      {"deadline_ms", unix_ms(service.m_move->m_deadline)},
+                      {"deadline_ms", unix_ms(deadline)},
                       {"wall_ms", unix_ms(wall)}},
                      action_text(move_step{move_step::kind::write, record}));
     }
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -1,8 +1,10 @@
 #include "observe/log.hpp"
 
+#include <array>
 #include <atomic>
-#include <cerrno>
 #include <cmath>
+#include <mutex>
+#include <poll.h>
 #include <unistd.h>
 
 #include <boost/json.hpp>
@@ -116,17 +118,88 @@
     current_config_version().store(version, std::memory_order_relaxed);
 }
 
-// Writes the whole line. A short write only happens on a full pipe or disk; the rest follows then.
-void write_log_line(std::string_view line) {
-    while (!line.empty()) {
-        const ssize_t written = ::write(STDERR_FILENO, line.data(), line.size());
-        if (written < 0 && errno != EINTR) {
-            return; // the log has no other place to report its own failure
+namespace {
+
+// Lines that may wait for a reader of standard output.
+constexpr std::size_t max_pending_bytes = 1U << 20U;
+// A batch of this size is written without waiting for flush_log.
+constexpr std::size_t batch_bytes = 32U << 10U;
+// Bytes that a pipe takes in one piece, and takes without blocking when it is ready.
+constexpr std::size_t pipe_bytes = 4'096;
+
+struct log_output {
+    std::mutex m_mutex;
+    log_buffer m_buffer;
+    bool m_batched = false;
+};
+
+log_output& output() {
+    static log_output value;
+    return value;
+}
+
+bool takes_bytes(int file) {
+    pollfd state{file, POLLOUT, 0};
+    return ::poll(&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
+}
+
+// Needs the mutex. The log has no other place to report its own failures.
+void write_pending(log_buffer& buffer) {
+    while (!buffer.m_pending.empty() && takes_bytes(STDOUT_FILENO)) {
+        const std::string_view chunk = next_chunk(buffer);
+        const ssize_t written = ::write(STDOUT_FILENO, chunk.data(), chunk.size());
+        if (written <= 0) {
+            return;
         }
-        line.remove_prefix(written > 0 ? static_cast<std::size_t>(written) : 0);
+        buffer.m_pending.erase(0, static_cast<std::size_t>(written));
+    }
+}
+
+} // namespace
+
+void buffer_line(log_buffer& buffer, std::string_view line) {
+    if (buffer.m_pending.size() + line.size() > max_pending_bytes) {
+        ++buffer.m_dropped;
+        return;
+    }
+    if (buffer.m_dropped != 0) {
+        const std::array fields{log_field("lines", buffer.m_dropped)};
+        buffer.m_dropped = 0;
+        buffer.m_pending += format_event(log_level::warning, "log_lines_dropped", fields);
+    }
+    buffer.m_pending += line;
+}
+
+std::string_view next_chunk(const log_buffer& buffer) {
+    const std::string_view pending = buffer.m_pending;
+    if (pending.size() <= pipe_bytes) {
+        return pending;
+    }
+    const std::size_t end = pending.rfind('\n', pipe_bytes - 1);
+    return pending.substr(0, end == std::string_view::npos ? pipe_bytes : end + 1);
+}
+
+void write_log_line(std::string_view line) {
+    log_output& out = output();
+    const std::lock_guard lock(out.m_mutex);
+    buffer_line(out.m_buffer, line);
+    if (!out.m_batched || out.m_buffer.m_pending.size() >= batch_bytes) {
+        write_pending(out.m_buffer);
     }
 }
 
+void batch_log(bool batched) {
+    log_output& out = output();
+    const std::lock_guard lock(out.m_mutex);
+    out.m_batched = batched;
+}
+
+void flush_log() {
+    log_output& out = output();
+    const std::lock_guard lock(out.m_mutex);
+    write_pending(out.m_buffer);
+}
+
 namespace {
 
 void append_event(line_buffer& line, log_level level, std::string_view event,
--- a/src/observe/log.hpp
+++ b/src/observe/log.hpp
@@ -1,4 +1,4 @@
-// Structured log: one JSON object a line on standard error, with a stable event name. The auditor
+// Structured log: one JSON object a line on standard output, with a stable event name. The auditor
 // works from these lines alone.
 #pragma once
 
@@ -48,7 +48,27 @@
 std::string format_event(log_level level, std::string_view event,
                          std::span<const log_field> fields);
 
-// Writes a formatted line.
+// Writes a formatted line. Never blocks: lines that standard output doesn't take wait in a bounded
+// buffer, and those beyond it are counted and dropped.
 void write_log_line(std::string_view line);
 
+// True: lines wait for flush_log or for a full batch, which spares system calls. False, as at first:
+// each line is written at once, so that a killed process has said what it did.
+void batch_log(bool batched);
+
+// Writes what waits, as far as standard output takes it.
+void flush_log();
+
+// The bounded buffer of lines that are not written yet.
+struct log_buffer {
+    std::string m_pending;
+    std::uint64_t m_dropped = 0; // lines since the last one that was kept
+};
+// Adds a line, or counts it as dropped when the buffer is full. The first line kept after a loss
+// is preceded by one that tells the number.
+void buffer_line(log_buffer& buffer, std::string_view line);
+// The longest run of whole lines from the front that one write to a pipe takes without mixing with
+// those of other processes.
+std::string_view next_chunk(const log_buffer& buffer);
+
 } // namespace caraway
--- a/src/traffic/admission_gate.cpp
+++ b/src/traffic/admission_gate.cpp
@@ -57,8 +57,8 @@
     update_load();
 }
 
-bool admission_gate::enter(call_control& control, urgency level, bool& cold,
-                           boost::asio::yield_context yield, error& reason) {
+bool admission_gate::enter(call_control& control, urgency level, time_point useful_until,
+                           bool& cold, boost::asio::yield_context yield, error& reason) {
     auto waiting = std::make_shared<waiting_call>();
     std::uint64_t call = 0;
     {
@@ -67,7 +67,7 @@
         const time_point now = m_clock.now();
         cold = is_cold(m_state, now);
         const time_point deadline = control.deadline();
-        const admission_result offered = admission_offer(m_state, call, level, deadline, now);
+        const admission_result offered = admission_offer(m_state, call, level, deadline, now, useful_until);
         if (is_recording()) {
             record_input(part, "offer", now,
                          {{"call", call},
--- a/src/traffic/admission_gate.hpp
+++ b/src/traffic/admission_gate.hpp
@@ -25,8 +25,8 @@
     // Waits for a slot. False with the reason when the call is refused or ended while waiting;
     // true when it may run, and then leave() must follow. cold tells whether the cold-start limit
     // was below the slots.
-    bool enter(call_control& control, urgency level, bool& cold, boost::asio::yield_context yield,
-               error& reason);
+    bool enter(call_control& control, urgency level, time_point useful_until, bool& cold,
+               boost::asio::yield_context yield, error& reason);
     // A call that entered has ended.
     void leave(const call_sample& sample);
 
--- a/src/traffic/backend_side.cpp
+++ b/src/traffic/backend_side.cpp
@@ -304,7 +304,7 @@
                             asio::yield_context yield) {
     server_result result;
     bool cold = false;
-    if (!context.m_gate.enter(control, info.m_urgency, cold, yield, result.m_reason)) {
+    if (!context.m_gate.enter(control, info.m_urgency, info.m_useful_until, cold, yield, result.m_reason)) {
         return result;
     }
     admission_slot slot(context.m_gate);
@@ -426,6 +426,9 @@
             timeout = route->m_timeout;
         }
     }
+    if (const auto useful = time_left(request, header::useful_ms)) {
+        info.m_useful_until = now + *useful;
+    }
     const milliseconds allowed = time_left(request).value_or(timeout);
     const std::uint64_t sender_version = number_header(request, header::config_version).value_or(0);
     context.note_version(header_of(request, header::instance), sender_version,
--- a/src/traffic/entry_side.cpp
+++ b/src/traffic/entry_side.cpp
@@ -194,6 +194,9 @@
     set_number(request, header::deadline_ms, allowed);
     set_number(request, header::hop, info.m_hop);
     set_number(request, header::exchange, number);
+    if (const auto useful = ms_left(info.m_useful_until, context.m_clock.now()); useful > 0) {
+        set_number(request, header::useful_ms, useful);
+    }
     if (info.m_first_sent_ms) {
         set_number(request, header::first_sent, *info.m_first_sent_ms);
     }
@@ -405,7 +408,11 @@
     if (allowed.count() <= 0) {
         return refused(error_kind::deadline_before_send, "the caller's deadline has passed");
     }
-    control.begin_call(context.m_clock.now() + allowed);
+    const time_point now = context.m_clock.now();
+    if (route->m_target_latency.count() > 0) {
+        call.m_info.m_useful_until = now + route->m_target_latency;
+    }
+    control.begin_call(now + allowed);
     strip_hop_by_hop(request);
     if (!context.m_settings.m_edge.m_caller_service.empty()) {
         set_header(request, context.m_settings.m_edge.m_caller_service,
--- a/src/traffic/http_message.hpp
+++ b/src/traffic/http_message.hpp
@@ -26,6 +26,8 @@
 constexpr std::string_view backend_version = "x-caraway-backend-version";
 constexpr std::string_view config_version = "x-caraway-config-version";
 constexpr std::string_view deadline_ms = "x-caraway-deadline-ms";
+// Milliseconds until an answer loses most of its worth to the caller.
+constexpr std::string_view useful_ms = "x-caraway-useful-ms";
 constexpr std::string_view hop = "x-caraway-hop";
 constexpr std::string_view first_sent = "x-caraway-first-sent";
 constexpr std::string_view instance = "x-caraway-instance";
--- a/src/traffic/traffic_context.hpp
+++ b/src/traffic/traffic_context.hpp
@@ -82,6 +82,7 @@
     std::string m_version; // of the backend server, chosen at the entry side
     urgency m_urgency = urgency::normal;
     bool m_idempotent = false;
+    time_point m_useful_until; // when an answer loses most of its worth; not known if long past
     std::string m_key; // idempotency key, empty if none
     std::optional<std::uint64_t> m_first_sent_ms;
     std::string m_request_number;
--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -206,7 +206,7 @@
         log_path = self.path(label + ".log")
         with open(log_path, "wb") as log:
             process = subprocess.Popen([os.path.join(self.bins, program), *map(str, arguments)],
-                                       stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL,
+                                       stdin=subprocess.DEVNULL, stdout=log,
                                        stderr=log, env={**os.environ, **(env or {})})
         started = Program(label, process, log_path)
         self.programs.append(started)
