Read a text from the store when no member delivers it; tests of the adapter

Tests of the adapter's translations, the own server's state, the cold pace, overload, split routes, the choice by latency and failures, retries after refusals of nodes, and the full log buffer.

--- a/src/decide/admission.cpp
+++ b/src/decide/admission.cpp
@@ -90,6 +90,12 @@
     return std::max(busy, std::chrono::duration_cast<duration>(paced));
 }
 
+// The same in whole rounds of the slots: the calls that run now may all have just begun.
+duration careful_time(const admission_state& state, std::uint32_t ahead) {
+    const std::uint32_t limit = allowed(state);
+    return state.m_smoothed_latency * (1 + (ahead + limit - 1) / limit);
+}
+
 bool at_slots(const admission_state& state) {
     return allowed(state) >= state.m_limits.m_slots;
 }
@@ -252,8 +258,10 @@
         !state.m_queue.empty() && state.m_queue.back().m_urgency > waiting.m_urgency;
     if (!less_urgent_wait) {
         const auto ahead = place - state.m_queue.begin() + 1;
-        const time_point latest = useful_until > now ? std::min(deadline, useful_until) : deadline;
-        if (now + expected_time(state, static_cast<std::uint32_t>(ahead), now) > latest) {
+        const auto place_in_queue = static_cast<std::uint32_t>(ahead);
+        const bool useful = useful_until <= now ||
+                            now + careful_time(state, place_in_queue) <= useful_until;
+        if (!useful || now + expected_time(state, place_in_queue, now) > deadline) {
             result.m_reason = full;
             return result;
         }
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -88,6 +88,7 @@
     std::uint64_t m_deleted_at = 0;             // revision of the latest deletion seen
     std::map<std::string, store_entry> m_items; // by key
     time_point m_begin_at;
+    time_point m_behind_since; // a newer text than the one held is known since then
     time_point m_retry_at;
     time_point m_next_list;
     bool m_entry_written = false;
--- a/src/node/operator_watch.cpp
+++ b/src/node/operator_watch.cpp
@@ -190,6 +190,9 @@
 // A starting node that doesn't watch asks the store for the configuration after this time.
 constexpr milliseconds members_first_time{700};
 
+// A node that gets a text from no member for this long reads it from the store.
+constexpr milliseconds behind_time{400};
+
 // Works out whether this node watches: it is among the first of its data centre, or among the first
 // of those that reach the store.
 void refresh_watcher(control& state, time_point now) {
@@ -214,6 +217,16 @@
     }
 }
 
+// True when a member has held a newer text for some time and it could not be fetched, as from
+// members that died or were cut off just now.
+bool is_behind(control& state, time_point now) {
+    operator_watch& watch = state.m_operator;
+    if (state.m_distribution.m_highest <= held_version(state.m_distribution)) {
+        watch.m_behind_since = now;
+    }
+    return now - watch.m_behind_since > behind_time;
+}
+
 } // namespace
 
 std::string encode_items(std::span<const store_entry> items) {
@@ -262,7 +275,10 @@
     // A node that got no configuration from members reads it from the store, whoever watches.
     const bool starting =
         !state.m_distribution.m_ready && now >= watch.m_begin_at + members_first_time;
-    if (!watch.m_candidate && !starting) {
+    if (!watch.m_candidate && is_behind(state, now)) {
+        watch.m_behind_since = now; // the next list, if this one brings nothing new
+        watch.m_listed = false;
+    } else if (!watch.m_candidate && !starting) {
         return;
     }
     if (!watch.m_entry_written && !watch.m_entry_busy && now >= watch.m_entry_retry_at) {
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "base/random.hpp"
+#include <vector>
 #include "decide/admission.hpp"
 #include "tests/support.hpp"
 
@@ -224,4 +225,88 @@
     }
 }
 
+// Guards against a cold server that gets more calls in some second than it says that it bears, and
+// against its full slots before it is warm.
+BOOST_AUTO_TEST_CASE(a_cold_server_gets_its_calls_a_second) {
+    admission_limits limits;
+    limits.m_slots = 12;
+    limits.m_queue = 48;
+    limits.m_infers_cold = false;
+    limits.m_cold_until = time_point{} + std::chrono::seconds(3);
+    limits.m_cold_per_second = 14;
+    admission_state state = make_admission({});
+    set_admission_limits(state, limits);
+    std::vector<time_point> starts;
+    std::uint64_t call = 1;
+    time_point now{};
+    for (; now < limits.m_cold_until; now += milliseconds(5)) {
+        const auto offered =
+            admission_offer(state, call++, urgency::normal, now + milliseconds(500), now);
+        auto begun = admission_tick(state, now).m_run.size();
+        begun += offered.m_verdict == admission_verdict::run ? 1 : 0;
+        for (std::size_t i = 0; i < begun; ++i) {
+            starts.push_back(now);
+            call_sample sample;
+            sample.m_latency = milliseconds(5);
+            begun += admission_finish(state, sample, now).m_run.size();
+        }
+    }
+    for (std::size_t i = 0; i + 14 < starts.size(); ++i) {
+        BOOST_TEST((starts[i + 14] - starts[i] >= std::chrono::seconds(1)));
+    }
+    BOOST_TEST(starts.size() >= 40U);
+    BOOST_TEST(is_cold(state, now - milliseconds(5)));
+    BOOST_TEST(!is_cold(state, now));
+    BOOST_TEST(!admission_tick(state, now).m_run.empty());
+    BOOST_TEST(state.m_queue.empty());
+    BOOST_TEST((admission_offer(state, call, urgency::normal, now + milliseconds(500), now)
+                    .m_verdict == admission_verdict::run));
+}
+
+// Guards against a lasting overload in which every call waits so long that none is served in time:
+// with twice the load that a server can run, most of what it runs still ends within the target.
+BOOST_AUTO_TEST_CASE(overload_serves_a_part_in_time_instead_of_all_late) {
+    constexpr milliseconds service_time{100};
+    constexpr milliseconds target{250};
+    admission_limits limits;
+    limits.m_slots = 4;
+    limits.m_queue = 48;
+    limits.m_infers_cold = false;
+    admission_state state = make_admission({});
+    set_admission_limits(state, limits);
+    std::map<std::uint64_t, time_point> arrived;
+    std::multimap<time_point, std::uint64_t> running;
+    int in_time = 0;
+    int late = 0;
+    std::uint64_t call = 1;
+    for (time_point now{}; now < time_point{} + std::chrono::seconds(10);
+         now += milliseconds(1)) {
+        std::vector<std::uint64_t> begun;
+        while (!running.empty() && running.begin()->first <= now) {
+            const bool good = now - arrived[running.begin()->second] <= target;
+            ++(good ? in_time : late);
+            running.erase(running.begin());
+            call_sample sample;
+            sample.m_latency = service_time;
+            const auto released = admission_finish(state, sample, now).m_run;
+            begun.insert(begun.end(), released.begin(), released.end());
+        }
+        if (now.time_since_epoch() % milliseconds(25) == duration{} ||
+            now.time_since_epoch() % milliseconds(25) == milliseconds(12)) {
+            arrived[call] = now;
+            if (admission_offer(state, call, urgency::normal, now + milliseconds(2'000), now,
+                                now + target)
+                    .m_verdict == admission_verdict::run) {
+                begun.push_back(call);
+            }
+            ++call;
+        }
+        for (const std::uint64_t id : begun) {
+            running.emplace(now + service_time, id);
+        }
+    }
+    BOOST_TEST(late * 20 <= in_time);
+    BOOST_TEST(in_time >= 360); // 4 slots run 400 calls in 10 s
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/observe_test.cpp
+++ b/tests/observe_test.cpp
@@ -97,4 +97,22 @@
     BOOST_TEST(text.find("caraway_call_seconds_bucket") != std::string::npos);
 }
 
+// Guards against a log that grows without bound, or hides that it lost lines, while nobody reads it.
+BOOST_AUTO_TEST_CASE(a_full_log_drops_lines_and_says_how_many) {
+    log_buffer buffer;
+    const std::string line(1'000, 'x');
+    for (int i = 0; i < 2'000; ++i) {
+        buffer_line(buffer, line + "\n");
+    }
+    BOOST_TEST(buffer.m_pending.size() <= std::size_t{1} << 20U);
+    BOOST_TEST(buffer.m_dropped > 900U);
+    BOOST_TEST(next_chunk(buffer).size() == 4 * (line.size() + 1));
+    buffer.m_pending.clear();
+    const std::string dropped = std::to_string(buffer.m_dropped);
+    buffer_line(buffer, "next\n");
+    BOOST_TEST(contains(buffer.m_pending, "log_lines_dropped"));
+    BOOST_TEST(contains(buffer.m_pending, "\"lines\":" + dropped));
+    BOOST_TEST(buffer.m_pending.ends_with("next\n"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/own_server_test.cpp
@@ -0,0 +1,83 @@
+// Tests of what a node believes of the backend server beside it.
+#include "decide/own_server.hpp"
+#include "tests/support.hpp"
+
+using namespace caraway;
+
+namespace {
+
+const ip_endpoint own_address{"10.1.0.2", 80};
+constexpr milliseconds silence{6'000};
+constexpr time_point start{std::chrono::seconds(100)};
+
+server_report make_report(std::string server, std::uint64_t sequence, std::int64_t started_ms) {
+    server_report report;
+    report.m_server = std::move(server);
+    report.m_address = own_address;
+    report.m_slots = 4;
+    report.m_sequence = sequence;
+    report.m_started_ms = started_ms;
+    return report;
+}
+
+report_verdict take(own_server& server, const server_report& report, time_point now = start) {
+    return receive_report(server, report, own_address, now);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(own_server_state)
+
+// Guards against a late report of an earlier incarnation that brings it back, also under the same
+// identity with counts that start anew.
+BOOST_AUTO_TEST_CASE(late_reports_change_nothing) {
+    own_server server;
+    BOOST_TEST((take(server, make_report("a", 5, 100)) == report_verdict::taken));
+    BOOST_TEST((take(server, make_report("a", 5, 100)) == report_verdict::stale));
+    BOOST_TEST((take(server, make_report("b", 1, 200)) == report_verdict::taken));
+    BOOST_TEST((take(server, make_report("a", 6, 100)) == report_verdict::stale));
+    BOOST_TEST(server.m_report->m_server == "b");
+    BOOST_TEST((take(server, make_report("b", 1, 300)) == report_verdict::taken));
+    BOOST_TEST((take(server, make_report("b", 9, 200)) == report_verdict::stale));
+    server_report elsewhere = make_report("c", 1, 900);
+    elsewhere.m_address.m_port = 81;
+    BOOST_TEST((take(server, elsewhere) == report_verdict::foreign));
+    BOOST_TEST(server.m_report->m_started_ms == 300);
+}
+
+// Guards against calls to a server that said that it drains or stops, and against a leave of an
+// earlier incarnation that stops the present one.
+BOOST_AUTO_TEST_CASE(a_leaving_server_gets_nothing) {
+    own_server server;
+    BOOST_TEST((server_refusal(server, start, silence) == error_kind::connect_failed));
+    take(server, make_report("a", 1, 100));
+    BOOST_TEST((server_refusal(server, start, silence) == error_kind::none));
+    server_report draining = make_report("a", 2, 100);
+    draining.m_state = server_state::draining;
+    take(server, draining);
+    BOOST_TEST((server_refusal(server, start, silence) == error_kind::draining));
+    take(server, make_report("a", 1, 200));
+    BOOST_TEST((server_refusal(server, start, silence) == error_kind::none));
+    BOOST_TEST((receive_leave(server, {"a", 100}) == report_verdict::stale));
+    BOOST_TEST((receive_leave(server, {"z", {}}) == report_verdict::stale));
+    BOOST_TEST((server_refusal(server, start, silence) == error_kind::none));
+    BOOST_TEST((receive_leave(server, {"a", 200}) == report_verdict::taken));
+    BOOST_TEST((server_refusal(server, start, silence) == error_kind::draining));
+}
+
+// Guards against calls to a server that has fallen silent or refuses connections; its next report
+// opens it again.
+BOOST_AUTO_TEST_CASE(a_silent_or_unreachable_server_gets_nothing) {
+    own_server server;
+    take(server, make_report("a", 1, 100));
+    BOOST_TEST(
+        (server_refusal(server, start + silence, silence) == error_kind::none));
+    BOOST_TEST((server_refusal(server, start + silence + milliseconds(1), silence) ==
+                error_kind::connect_failed));
+    server.m_unreachable = true;
+    BOOST_TEST((server_refusal(server, start, silence) == error_kind::connect_failed));
+    take(server, make_report("a", 2, 100), start + silence);
+    BOOST_TEST((server_refusal(server, start + silence, silence) == error_kind::none));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,214 @@
+// Tests of the adapter to the platform: each translation, also with input that can't be read.
+#include "config/adapter.hpp"
+#include "platform/operator_items.hpp"
+#include "platform/platform_adapter.hpp"
+#include "platform/reports.hpp"
+#include "platform/store.hpp"
+#include "tests/support.hpp"
+
+using namespace caraway;
+
+namespace {
+
+constexpr std::string_view config_text =
+    R"({"version":"0000000c","base_version":"0000000b","extra":1,"routes":[)"
+    R"({"name":"a","host":"h.example","path_prefix":"/a/","kind":"non_idempotent",)"
+    R"("timeout_ms":2500,"target_latency_ms":800,"priority":1,"service":"s1","attempts":2},)"
+    R"({"name":"b","host":"h.example","path_prefix":"/a/b/","kind":"idempotent","timeout_ms":900,)"
+    R"("target_latency_ms":300,"priority":4,"attempts":3,)"
+    R"("traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}]}],)"
+    R"("services":[{"name":"s1","max_connections":110,"warmup_per_s":14.0},)"
+    R"({"name":"s2","max_connections":60}]})";
+
+store_entry item(std::string key, std::string value, std::uint64_t revision = 5) {
+    return {std::move(key), revision, std::move(value), false};
+}
+
+std::string changed(std::string_view text, std::string_view from, std::string_view to) {
+    std::string out(text);
+    const std::size_t at = out.find(from);
+    BOOST_REQUIRE_MESSAGE(at != std::string::npos, from);
+    return out.replace(at, from.size(), to);
+}
+
+constexpr std::string_view report_text =
+    R"({"address":"10.1.0.2:80","born":1700000000000,)"
+    R"("info":{"service":"s1","version":"v1","zone":"z1","slots":12},)"
+    R"("status":{"state":"ready","call_seq":4,"warmup_left_ms":1500}})";
+
+store_reply decode(store_operation operation, unsigned status, std::string_view body) {
+    store_command command;
+    command.m_operation = operation;
+    command.m_key = "a/b";
+    return platform::make_store_codec().m_decode(command, {status, {}, body});
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(platform_adapter)
+
+// Guards against a configuration whose routes or services arrive with another meaning.
+BOOST_AUTO_TEST_CASE(operator_items_become_one_mesh) {
+    error reason;
+    const std::vector<store_entry> items{
+        item("op/config", std::string(config_text)), item("op/evacuate/z2", "{}"),
+        item("op/rollout/s1", R"({"service":"s1","target_version":"v2","duration_s":12})", 9),
+        item("op/unknown", "what")};
+    const auto read = platform::parse_operator_items(items, reason);
+    BOOST_REQUIRE_MESSAGE(read, reason.m_text);
+    const route_spec* plain = match_route(*read, "h.example", "/a/x");
+    BOOST_REQUIRE(plain);
+    BOOST_TEST(plain->m_service == "s1");
+    BOOST_TEST(!plain->m_idempotent);
+    BOOST_TEST((plain->m_urgency == urgency::normal));
+    BOOST_TEST((plain->m_target_latency == milliseconds(800)));
+    const route_spec* split = match_route(*read, "h.example", "/a/b/c?q=1");
+    BOOST_REQUIRE(split);
+    BOOST_TEST(split->m_split.size() == 2U);
+    BOOST_TEST(split->m_split[0].m_weight == 90U);
+    BOOST_TEST(split->m_attempts == 3U);
+    BOOST_TEST((split->m_urgency == urgency::background));
+    BOOST_TEST(!match_route(*read, "other.example", "/a/x"));
+    BOOST_TEST(!match_route(*read, "h.example", "/ab/x"));
+    BOOST_TEST(read->m_services.at("s1").m_warmup_per_second == 14.0);
+    const auto& move = read->m_services.at("s1").m_move;
+    BOOST_REQUIRE(move);
+    BOOST_TEST(move->m_to == "v2");
+    BOOST_TEST(move->m_order == 9U);
+    BOOST_TEST((move->m_duration == milliseconds(12'000)));
+    BOOST_TEST(read->m_data_centres.at("z2").m_out);
+    BOOST_TEST(!read->m_lists_data_centres);
+}
+
+// Guards against a configuration or an order that is applied in part.
+BOOST_AUTO_TEST_CASE(unreadable_items_are_refused_whole) {
+    const std::vector<std::pair<std::string_view, std::string_view>> faults{
+        {R"("timeout_ms":2500)", R"("timeout_ms":"2500")"},
+        {R"("kind":"idempotent")", R"("kind":"sometimes")"},
+        {R"("host":"h.example")", R"("host":7)"},
+        {R"("weight":90)", R"("weight":-1)"},
+        {R"("max_connections":60)", R"("connections":60)"},
+        {R"("services":[)", R"("services":[1,)"}};
+    for (const auto& [from, to] : faults) {
+        error reason;
+        const std::vector<store_entry> items{item("op/config", changed(config_text, from, to))};
+        BOOST_TEST(!platform::parse_operator_items(items, reason), to);
+        BOOST_TEST((reason.m_kind == error_kind::invalid_text), to);
+    }
+    error reason;
+    BOOST_TEST(!platform::parse_operator_items({}, reason));
+    const std::vector<store_entry> bad_order{
+        item("op/config", std::string(config_text)),
+        item("op/rollout/s9", R"({"service":"s9","target_version":"v2","duration_s":12})")};
+    BOOST_TEST(!platform::parse_operator_items(bad_order, reason));
+}
+
+// Guards against a record that its next holder can't read back, and a state that operators don't
+// know.
+BOOST_AUTO_TEST_CASE(move_status_keeps_the_record) {
+    move_record record;
+    record.m_move_id = "m1";
+    record.m_service = "s1";
+    record.m_to = "v2";
+    record.m_state = move_state::taken_back;
+    record.m_started_ms = 1;
+    record.m_raised_ms = 2;
+    record.m_deadline_ms = 3;
+    const std::string text = platform::encode_move_status(record);
+    BOOST_TEST(contains(text, R"("state":"rolled_back")"));
+    BOOST_TEST(contains(text, R"("target_version":"v2")"));
+    const auto read = platform::decode_move_status(text, 7);
+    BOOST_REQUIRE(read);
+    record.m_revision = 7;
+    BOOST_TEST((*read == record));
+    BOOST_TEST(!platform::decode_move_status(R"({"state":"done"})", 7));
+    BOOST_TEST(!platform::decode_move_status("nothing", 7));
+}
+
+// Guards against reports of other writers that would name a server to use.
+BOOST_AUTO_TEST_CASE(reports_are_read_whole_or_refused) {
+    error reason;
+    const auto read = platform::decode_report("i-1", report_text, reason);
+    BOOST_REQUIRE_MESSAGE(read, reason.m_text);
+    BOOST_TEST(read->m_server == "i-1");
+    BOOST_TEST(format_endpoint(read->m_address) == "10.1.0.2:80");
+    BOOST_TEST(read->m_slots == 12U);
+    BOOST_TEST(read->m_sequence == 4U);
+    BOOST_TEST(read->m_started_ms == 1'700'000'000'000);
+    BOOST_TEST((read->m_warmup_left == milliseconds(1'500)));
+    const std::vector<std::pair<std::string_view, std::string_view>> faults{
+        {R"("state":"ready")", R"("state":"resting")"},
+        {R"("call_seq":4)", R"("call_seq":"4")"},
+        {R"("slots":12)", R"("slots":0)"},
+        {R"("slots":12)", R"("slots":1e9)"},
+        {R"("service":"s1",)", ""},
+        {R"("born":1700000000000)", R"("born":1.5)"},
+        {R"("address":"10.1.0.2:80")", R"("address":"somewhere")"},
+        {"}}", "}"}};
+    for (const auto& [from, to] : faults) {
+        BOOST_TEST(!platform::decode_report("i-1", changed(report_text, from, to), reason), to);
+        BOOST_TEST((reason.m_kind == error_kind::bad_request), to);
+    }
+    BOOST_TEST(!platform::decode_report("", report_text, reason));
+    BOOST_TEST(!platform::decode_leave("", "", reason));
+    BOOST_TEST(platform::decode_leave("i-1", "", reason).has_value());
+    BOOST_TEST(*platform::decode_leave("i-1", R"({"born":8})", reason)->m_started_ms == 8);
+    BOOST_TEST(!platform::decode_leave("i-1", R"({"born":"8"})", reason));
+}
+
+// Guards against a store error that passes for another one: a lost lease, an absent key, a refusal
+// that did nothing, a write whose outcome is unknown.
+BOOST_AUTO_TEST_CASE(store_statuses_keep_their_meaning) {
+    using op = store_operation;
+    BOOST_TEST((decode(op::get, 404, "").m_kind == error_kind::store_not_found));
+    BOOST_TEST((decode(op::watch, 410, "").m_kind == error_kind::store_not_found));
+    BOOST_TEST((decode(op::put, 404, "").m_kind == error_kind::store_lease_lost));
+    BOOST_TEST((decode(op::renew_lease, 404, "").m_kind == error_kind::store_lease_lost));
+    BOOST_TEST((decode(op::put, 429, "").m_kind == error_kind::store_throttled));
+    BOOST_TEST((decode(op::put, 503, "").m_kind == error_kind::store_unreachable));
+    BOOST_TEST((decode(op::put, 500, "").m_kind == error_kind::store_outcome_unknown));
+    BOOST_TEST((decode(op::put, 200, "{}").m_kind == error_kind::store_outcome_unknown));
+    const auto lost = decode(op::put, 412, R"({"items":[{"key":"a/b","value":"","revision":8}]})");
+    BOOST_TEST((lost.m_kind == error_kind::store_conflict));
+    BOOST_TEST(lost.m_revision == 8U);
+    BOOST_TEST(decode(op::put, 200, R"({"revision":412})").m_revision == 412U);
+    BOOST_TEST(decode(op::create_lease, 200, R"({"lease":77,"ttl_ms":3000})").m_lease == "77");
+}
+
+// Guards against values that change on the way, and pages that are taken for the whole list.
+BOOST_AUTO_TEST_CASE(store_values_and_pages_are_read_exactly) {
+    using op = store_operation;
+    const std::string bytes("a\0\xff z", 5);
+    store_command put;
+    put.m_operation = op::put;
+    put.m_key = "a/b";
+    put.m_value = bytes;
+    put.m_if_revision = 0;
+    put.m_lease = "77";
+    const store_request request = platform::make_store_codec().m_encode(put);
+    BOOST_TEST(request.m_target == "/api/kv-txn");
+    BOOST_TEST(contains(request.m_body, R"("expect":[{"key":"a/b","revision":0}])"));
+    BOOST_TEST(contains(request.m_body, R"("value":"YQD/IHo=")"));
+    BOOST_TEST(contains(request.m_body, R"("lease":77)"));
+    const auto read = decode(
+        op::get, 200, R"({"key":"a/b","value":"YQD/IHo=","revision":4,"current_rev":9})");
+    BOOST_TEST(read.m_value == bytes);
+    BOOST_TEST(read.m_revision == 4U);
+    const auto page = decode(
+        op::list, 200,
+        R"({"items":[{"key":"a","value":"","revision":3}],"has_more":true,"current_rev":9})");
+    BOOST_TEST(page.m_more);
+    BOOST_TEST(page.m_revision == 9U);
+    const auto events = decode(
+        op::watch, 200, R"({"events":[{"key":"a","revision":3,"deleted":true}],"current_rev":3})");
+    BOOST_REQUIRE(events.m_entries.size() == 1U);
+    BOOST_TEST(events.m_entries[0].m_deleted);
+    for (const std::string_view broken :
+         {R"({"items":[{"key":"a","value":"?","revision":3}],"current_rev":9})",
+          R"({"items":[{"value":"","revision":3}],"current_rev":9})", R"({"items":[]})", "[", ""}) {
+        BOOST_TEST((decode(op::list, 200, broken).m_kind == error_kind::store_outcome_unknown),
+                   broken);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/retry_balance_test.cpp
+++ b/tests/retry_balance_test.cpp
@@ -233,4 +233,67 @@
     BOOST_TEST(breaker_try(breaker, now));
 }
 
+// Guards against a route whose parts get other shares than their weights, at any moment.
+BOOST_AUTO_TEST_CASE(split_is_exact_at_any_moment) {
+    const std::array<std::uint32_t, 3> weights{70, 20, 10};
+    split_choice choice;
+    std::array<int, 3> counts{};
+    for (int call = 1; call <= 1'000; ++call) {
+        ++counts.at(choose_part(choice, weights));
+        for (std::size_t part = 0; part < weights.size(); ++part) {
+            BOOST_TEST(std::abs(counts.at(part) - call * weights.at(part) / 100.0) <= 1.0);
+        }
+    }
+}
+
+// Guards against equal shares for servers of unequal speed, and against a server that fails part of
+// its calls and attracts more by answering fast.
+BOOST_AUTO_TEST_CASE(slow_and_failing_servers_get_less) {
+    random_source random(first_seed());
+    std::vector<candidate> candidates(8);
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        candidates[i].m_own_data_centre = true;
+        candidates[i].m_latency = milliseconds(i < 2 ? 50 : i < 6 ? 100 : 200);
+    }
+    candidates[0].m_failure_permille = 400;
+    std::vector<int> counts(candidates.size());
+    for (int i = 0; i < 10'000; ++i) {
+        ++counts[*choose_candidate(candidates, random)];
+    }
+    BOOST_TEST(counts[1] > 2 * counts[3]);
+    BOOST_TEST(counts[3] > 2 * counts[7]);
+    BOOST_TEST(counts[0] < counts[3]);
+    candidates[0].m_load_age = std::chrono::seconds(30); // what was known of it is too old
+    counts.assign(counts.size(), 0);
+    for (int i = 0; i < 10'000; ++i) {
+        ++counts[*choose_candidate(candidates, random)];
+    }
+    BOOST_TEST(counts[0] > counts[7]);
+}
+
+// Guards against retries that cost backend servers nothing but are refused for lack of budget, and
+// against more servers for one call than its route allows.
+BOOST_AUTO_TEST_CASE(refusals_of_nodes_take_no_budget) {
+    const time_point now{};
+    retry_budget empty;
+    empty.m_tokens = 0;
+    attempt refused;
+    refused.m_failure = error_kind::queue_full;
+    refused.m_deadline = now + milliseconds(100);
+    refused.m_reached_server = false;
+    BOOST_TEST(may_retry(refused, empty, now));
+    refused.m_retries = max_refused_retries;
+    BOOST_TEST(!may_retry(refused, empty, now));
+    attempt shed;
+    shed.m_failure = error_kind::backend_shed;
+    shed.m_deadline = now + milliseconds(100);
+    BOOST_TEST(!may_retry(shed, empty, now));
+    retry_budget full;
+    shed.m_max_retries = 0;
+    BOOST_TEST(!may_retry(shed, full, now));
+    shed.m_max_retries = 2;
+    shed.m_retries = 1;
+    BOOST_TEST(may_retry(shed, full, now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -49,16 +49,16 @@
 // The present time of tests of texts and commands.
 inline const wall_time s_now = std::chrono::sys_days(std::chrono::year(2027) / 1 / 15);
 
-// Runs an action with standard error replaced by a pipe and returns what it wrote.
+// Runs an action with standard output replaced by a pipe and returns what it wrote.
 template <typename Action>
 std::string captured_log(Action action) {
     std::array<int, 2> ends{};
     BOOST_REQUIRE(::pipe(ends.data()) == 0);
-    const int saved = ::dup(STDERR_FILENO);
-    ::dup2(ends[1], STDERR_FILENO);
+    const int saved = ::dup(STDOUT_FILENO);
+    ::dup2(ends[1], STDOUT_FILENO);
     ::close(ends[1]);
     action();
-    ::dup2(saved, STDERR_FILENO);
+    ::dup2(saved, STDOUT_FILENO);
     ::close(saved);
     std::array<char, 8192> bytes{};
     const ssize_t size = ::read(ends[0], bytes.data(), bytes.size());
