Find members without the store after a restart; open breakers of unreachable servers at once

Each call to a machine without power waited 250 ms for a connection, up to three times. Change: members that went away within a minute are pinged, four in each interval; a starting node asks known members also while a store call hangs, and goes on asking for 6 s. A failed connection opens the breaker at once.

--- a/src/carawayd/main.cpp
+++ b/src/carawayd/main.cpp
@@ -99,8 +99,8 @@
     boost::asio::io_context context(1);
     error reason;
     const std::unique_ptr<node> running =
-        node::start(context, settings,
-                    parsed.m_platform ? platform::make_adapter() : own_adapter(), clock, reason);
+        node::start(context, settings, parsed.m_platform ? platform::make_adapter() : own_adapter(),
+                    clock, reason);
     if (!running) {
         log_event(log_level::error, "start_failed", {{"reason", reason.m_text}});
         return answer_for(reason.m_kind).m_exit_code;
--- a/src/config/mesh.cpp
+++ b/src/config/mesh.cpp
@@ -499,8 +499,7 @@
                                      [host](const route_spec& route, std::string_view wanted) {
                                          return route_before(route, wanted, host);
                                      });
-    const bool found =
-        at != config.m_routes.end() && at->m_path == path && at->m_host == host;
+    const bool found = at != config.m_routes.end() && at->m_path == path && at->m_host == host;
     return found ? &*at : nullptr;
 }
 
@@ -559,9 +558,8 @@
 
 std::string move_id(std::string_view service, const move_spec& move) {
     const std::string key =
-        move.m_order != 0
-            ? fmt::format("{}\n{}\norder {}", service, move.m_to, move.m_order)
-            : fmt::format("{}\n{}\n{}", service, move.m_to, unix_ms(move.m_deadline));
+        move.m_order != 0 ? fmt::format("{}\n{}\norder {}", service, move.m_to, move.m_order)
+                          : fmt::format("{}\n{}\n{}", service, move.m_to, unix_ms(move.m_deadline));
     return fmt::format("{:016x}", hash_bytes(key));
 }
 
--- a/src/config/mesh.hpp
+++ b/src/config/mesh.hpp
@@ -69,10 +69,10 @@
     milliseconds m_timeout{1000};
     bool m_idempotent = false;
     urgency m_urgency = urgency::normal;
-    std::string m_host{};             // empty: any
+    std::string m_host{};              // empty: any
     std::vector<route_part> m_split{}; // if not empty, instead of m_service
-    std::uint32_t m_attempts = 2;     // backend servers that one call may be sent to
-    milliseconds m_target_latency{0}; // an answer within it is worth most to the caller; 0 = none
+    std::uint32_t m_attempts = 2;      // backend servers that one call may be sent to
+    milliseconds m_target_latency{0};  // an answer within it is worth most to the caller; 0 = none
     friend bool operator==(const route_spec&, const route_spec&) = default;
 };
 
@@ -83,8 +83,8 @@
     friend bool operator==(const data_centre_spec&, const data_centre_spec&) = default;
 };
 
-// A whole accepted text. Routes are sorted by descending path length, then by path and host, so that
-// the first match is the longest and match_route can search by bisection.
+// A whole accepted text. Routes are sorted by descending path length, then by path and host, so
+// that the first match is the longest and match_route can search by bisection.
 struct mesh {
     std::string m_name;
     std::map<std::string, data_centre_spec, std::less<>> m_data_centres;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -48,8 +48,7 @@
     "behind_wait", "retry_budget_percent", "retry_burst"};
 constexpr std::array<std::string_view, 3> results_keys{"retention", "entries", "bytes"};
 constexpr std::array<std::string_view, 2> shutdown_keys{"drain_timeout", "announce_time"};
-constexpr std::array<std::string_view, 3> log_keys{"trace_spans", "record_lines",
-                                                   "flush_interval"};
+constexpr std::array<std::string_view, 3> log_keys{"trace_spans", "record_lines", "flush_interval"};
 constexpr std::array<std::string_view, 1> random_keys{"seed"};
 
 bool read_endpoint(const table_reader& reader, std::string_view key, presence need,
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -31,9 +31,9 @@
     std::string m_request_number = "x-request-number";
     std::string m_deadline_ms = "x-caraway-deadline-ms";
     std::string m_not_run = "x-caraway-backend-shed"; // a server's word that it didn't run the call
-    std::string m_expected_server; // the server that alone may run the call
-    std::string m_caller_service;  // service of the instance where the call began
-    std::string m_server_seal;     // on every answer that a server made itself
+    std::string m_expected_server;                    // the server that alone may run the call
+    std::string m_caller_service; // service of the instance where the call began
+    std::string m_server_seal;    // on every answer that a server made itself
     friend bool operator==(const edge_headers&, const edge_headers&) = default;
 };
 
@@ -44,7 +44,7 @@
     std::string m_instance;    // required, unique name of the instance
     std::string m_data_centre; // required
     std::string m_service;     // required, the service of the backend server beside this node
-    std::string m_version; // of the backend server; required unless the server reports it
+    std::string m_version;     // of the backend server; required unless the server reports it
     // [listen]
     ip_endpoint m_traffic;   // required; callers and other nodes
     ip_endpoint m_peer_udp;  // required; probes and rumours
--- a/src/decide/admission.cpp
+++ b/src/decide/admission.cpp
@@ -68,8 +68,7 @@
            now - state.m_cold_starts.front() >= std::chrono::seconds(1)) {
         state.m_cold_starts.pop_front();
     }
-    return static_cast<double>(state.m_cold_starts.size()) + 1 <=
-           state.m_limits.m_cold_per_second;
+    return static_cast<double>(state.m_cold_starts.size()) + 1 <= state.m_limits.m_cold_per_second;
 }
 
 void begin_call(admission_state& state, time_point now) {
@@ -259,8 +258,8 @@
     if (!less_urgent_wait) {
         const auto ahead = place - state.m_queue.begin() + 1;
         const auto place_in_queue = static_cast<std::uint32_t>(ahead);
-        const bool useful = useful_until <= now ||
-                            now + careful_time(state, place_in_queue) <= useful_until;
+        const bool useful =
+            useful_until <= now || now + careful_time(state, place_in_queue) <= useful_until;
         if (!useful || now + expected_time(state, place_in_queue, now) > deadline) {
             result.m_reason = full;
             return result;
--- a/src/decide/admission.hpp
+++ b/src/decide/admission.hpp
@@ -78,8 +78,7 @@
 // useful_until, if it lies ahead, is when an answer loses most of its worth: a call that would wait
 // past it is refused, too, since in an overload that lasts, all calls would else be served late.
 admission_result admission_offer(admission_state& state, std::uint64_t call, urgency level,
-                                 time_point deadline, time_point now,
-                                 time_point useful_until = {});
+                                 time_point deadline, time_point now, time_point useful_until = {});
 
 // How a call that ran ended.
 struct call_sample {
--- a/src/decide/balance.cpp
+++ b/src/decide/balance.cpp
@@ -25,7 +25,8 @@
 
 // A failed call costs its caller as much as this many served ones take.
 constexpr double failure_cost = 10;
-// Reported failures fade to nothing within this age, so that a server that recovered is tried again.
+// Reported failures fade to nothing within this age, so that a server that recovered is tried
+// again.
 constexpr std::chrono::duration<double> failure_lifetime{4.0};
 // Reported latencies are compared for this long; an older one is taken for the usual one.
 constexpr std::chrono::duration<double> latency_lifetime{10.0};
@@ -181,6 +182,11 @@
     breaker = circuit_breaker{};
 }
 
+void breaker_unreachable(circuit_breaker& breaker, time_point now) {
+    breaker.m_failures = std::max(breaker.m_failures, breaker_threshold - 1);
+    breaker_failure(breaker, now);
+}
+
 void breaker_failure(circuit_breaker& breaker, time_point now) {
     breaker.m_trial = false;
     ++breaker.m_failures;
--- a/src/decide/balance.hpp
+++ b/src/decide/balance.hpp
@@ -18,7 +18,7 @@
     bool m_own_data_centre = false;
     bool m_usable = true;            // serves the chosen version, not suspended, not left, not out
     std::uint32_t m_outstanding = 0; // calls under way from this node
-    std::uint32_t m_load_permille = 0; // last load that an answer carried back
+    std::uint32_t m_load_permille = 0;    // last load that an answer carried back
     std::uint32_t m_failure_permille = 0; // share of its calls that failed, from that answer
     duration m_latency{};                 // of its calls, from that answer; 0: not known
     duration m_load_age{};                // since that answer; what is old counts less
@@ -69,5 +69,8 @@
 bool breaker_try(circuit_breaker& breaker, time_point now);
 void breaker_success(circuit_breaker& breaker);
 void breaker_failure(circuit_breaker& breaker, time_point now);
+// A connection could not be made: the breaker opens at once, since each such call costs its caller
+// the whole time that a connection is waited for.
+void breaker_unreachable(circuit_breaker& breaker, time_point now);
 
 } // namespace caraway
--- a/src/decide/membership.hpp
+++ b/src/decide/membership.hpp
@@ -204,6 +204,8 @@
     time_point m_next_claim;
     time_point m_next_gone_ping; // of a dead member, in case a partition healed
     std::string m_gone_cursor;
+    time_point m_next_restart_ping;
+    std::string m_restart_cursor;
     time_point m_next_facts_differ;
     double m_rumour_tokens = 0; // member rumours that may be forwarded at once
     double m_gossip_bytes = 0;  // that gossip between the probes may still use
--- a/src/decide/membership_probes.cpp
+++ b/src/decide/membership_probes.cpp
@@ -19,6 +19,11 @@
 constexpr int claims_per_interval = 4;
 // Dead members are pinged once in this many probe intervals, in case a partition healed.
 constexpr int gone_ping_intervals = 5;
+// Members gone for less than this are pinged in every interval, some at a time: one that restarts
+// at its address then finds the others, also when the store can't name them.
+constexpr milliseconds restart_time{60'000};
+constexpr std::size_t restart_pings = 4;
+constexpr std::size_t restart_scan = 512;
 // Entries looked at per search for a dead member.
 constexpr std::size_t gone_scan = 64;
 // With a share of one in this many dead members the table may be one side of a partition.
@@ -256,7 +261,32 @@
     }
 }
 
+// Pings members that went away lately, in case they are back: a search of bounded length for each
+// interval, which goes on where the last one ended.
+void ping_restarting_members(membership_table& table, time_point now, actions& out) {
+    if (now < table.m_next_restart_ping) {
+        return;
+    }
+    table.m_next_restart_ping = now + table.m_options.m_probe_interval;
+    const auto& members = table.m_members;
+    auto at = members.upper_bound(table.m_restart_cursor);
+    std::size_t pings = 0;
+    for (std::size_t step = 0; step < std::min(restart_scan, members.size()); ++step, ++at) {
+        at = at == members.end() ? members.begin() : at;
+        const tracked_member& each = at->second;
+        const bool lately = each.m_gone_since && now - *each.m_gone_since < restart_time;
+        if (lately && has_addresses(each.m_member) && !each.m_forgotten) {
+            table.m_restart_cursor = at->first;
+            send_ping(table, each, 0, std::nullopt, out);
+            if (++pings == restart_pings) {
+                return;
+            }
+        }
+    }
+}
+
 void ping_gone(membership_table& table, time_point now, actions& out) {
+    ping_restarting_members(table, now, out);
     if (now < table.m_next_gone_ping) {
         return;
     }
--- a/src/decide/own_server.hpp
+++ b/src/decide/own_server.hpp
@@ -24,7 +24,7 @@
     ip_endpoint m_address;
     std::uint32_t m_slots = 0; // calls that it runs at a time
     server_state m_state = server_state::ready;
-    std::uint64_t m_sequence = 0; // rises with each report of an incarnation
+    std::uint64_t m_sequence = 0;  // rises with each report of an incarnation
     std::int64_t m_started_ms = 0; // Unix milliseconds at its start, by its own clock
     milliseconds m_warmup_left{0}; // how long it stays cold; 0: warm
 };
--- a/src/node/join.cpp
+++ b/src/node/join.cpp
@@ -13,6 +13,10 @@
 constexpr std::size_t join_targets = 3;
 // First pause after a failed attempt to join; doubled up to the setting.
 constexpr milliseconds first_join_backoff{200};
+// A node asks members for their tables at this interval until this long after its start: when many
+// start together, those that answer first know only a few of the others.
+constexpr milliseconds complete_interval{1'000};
+constexpr milliseconds complete_time{6'000};
 
 // Admits at most the configured number of joins in a second, so that a restarting data centre
 // can't take the control thread away from the members that are up.
@@ -39,13 +43,14 @@
 // Whom to ask besides the entry points: members learnt from earlier answers that have not answered
 // a join yet, else the seeds. A node that asked only its seeds could not establish its floor while
 // the store is down and most of the seeds are unreachable, although enough other members are alive.
-std::vector<ip_endpoint> known_targets(const control& state) {
+std::vector<ip_endpoint> known_targets(const control& state, bool again = false) {
     std::vector<ip_endpoint> targets;
     for (const auto& [name, tracked] : state.m_members.m_members) {
         const member& known = tracked.m_member;
         const bool live =
             known.m_state == member_state::alive || known.m_state == member_state::suspect;
-        if (live && !state.m_distribution.m_joined.contains(name) &&
+        const bool answered = state.m_distribution.m_joined.contains(name);
+        if (live && (again || !answered) &&
             !state.m_join.m_pending.contains(format_endpoint(known.m_bulk))) {
             targets.push_back(known.m_bulk);
         }
@@ -61,18 +66,24 @@
     return targets;
 }
 
+// Asks some of the members learnt so far, also those that have answered before if again is set.
+// False if there are none left to ask.
+bool ask_known_members(control& state, bool again = false) {
+    std::vector<ip_endpoint> known = known_targets(state, again);
+    std::shuffle(known.begin(), known.end(), state.m_random);
+    known.resize(std::min(known.size(), join_targets));
+    for (const ip_endpoint& target : known) {
+        join_through(state, target);
+    }
+    return !known.empty();
+}
+
 // Asks some of the known members and the entry points, as soon as the store has named these. With a
 // pause in between, as after a failed attempt, a restarted node missed 18 s while most members were
-// cut off. Without the store the known members alone are asked; where every node is an entry point,
-// every other attempt spares the store a call.
+// cut off. Without the store the known members alone are asked; where no lease keeps the entry
+// points current, known members come first, which spares the store a call.
 void ask_members(control& state) {
-    std::vector<ip_endpoint> known = known_targets(state);
-    if (state.reads_operator_items() && !known.empty() && state.m_join.m_failures % 2 == 1) {
-        std::shuffle(known.begin(), known.end(), state.m_random);
-        known.resize(std::min(known.size(), join_targets));
-        for (const ip_endpoint& target : known) {
-            join_through(state, target);
-        }
+    if (state.reads_operator_items() && ask_known_members(state)) {
         return;
     }
     state.m_join.m_store_busy = true;
@@ -184,7 +195,21 @@
     join_state& join = state.m_join;
     const bool alone = state.m_members.m_live == 0;
     const bool joined = join.m_done && !alone && state.m_distribution.m_ready;
-    if (state.m_leaving || joined || join.m_store_busy || now < join.m_next_attempt) {
+    if (state.m_leaving || now < join.m_next_attempt) {
+        return;
+    }
+    if (joined) {
+        if (now - join.m_first_attempt < complete_time && state.reads_operator_items()) {
+            join.m_next_attempt = now + complete_interval;
+            ask_known_members(state, true);
+        }
+        return;
+    }
+    // The store may hang; members that have been heard of meanwhile are asked all the same.
+    if (join.m_store_busy) {
+        if (ask_known_members(state)) {
+            schedule_join_retry(state, now);
+        }
         return;
     }
     if (join.m_first_attempt == time_point{}) {
--- a/src/node/move_control.cpp
+++ b/src/node/move_control.cpp
@@ -126,8 +126,7 @@
         }
         const auto record = state.m_adapter.m_decode_move(reply.m_value, reply.m_revision);
         if (!record) {
-            log_event(log_level::error, "move_record_malformed",
-                      {{"revision", reply.m_revision}});
+            log_event(log_level::error, "move_record_malformed", {{"revision", reply.m_revision}});
             return;
         }
         role.m_retry_at = state.now();
@@ -141,8 +140,7 @@
     move_role& role = state.m_move;
     role.m_busy = true;
     state.m_store->put(record_key(state, record.m_service), state.m_adapter.m_encode_move(record),
-                       if_revision, {},
-                       [&state, record](const store_reply& reply) {
+                       if_revision, {}, [&state, record](const store_reply& reply) {
                            move_role& writer = state.m_move;
                            writer.m_busy = false;
                            if (record.m_move_id != writer.m_move_id) {
@@ -268,8 +266,8 @@
     }
     std::uint32_t instances = 1;
     for (const member* each : live_members(state.m_members)) {
-        const bool counts = each->m_service == service.m_name &&
-                            each->m_version == state.m_own_view.m_version;
+        const bool counts =
+            each->m_service == service.m_name && each->m_version == state.m_own_view.m_version;
         instances += counts ? 1 : 0;
     }
     role.m_local.m_instances = instances;
@@ -327,10 +325,9 @@
         state.m_move.m_verdicts_written.contains(state.m_move.m_move_id)) {
         return false;
     }
-    const bool candidate = refresh_candidate(
-        state, lease, now, [service](const member& m) {
-            return m.m_service == service->m_name && !m.m_store_lost;
-        });
+    const bool candidate = refresh_candidate(state, lease, now, [service](const member& m) {
+        return m.m_service == service->m_name && !m.m_store_lost;
+    });
     return lease.m_keeper.m_held || candidate;
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -166,14 +166,14 @@
 private:
     void open_store() {
         node_metrics& metrics = *m_state.m_metrics;
-        m_state.m_store = store_client::create(
-            m_context, m_state.m_settings.m_store, m_state.m_adapter.m_store,
-            m_state.m_settings.m_store_timeout,
-            [&metrics](std::string_view operation, error_kind result, std::uint64_t sent,
-                       std::uint64_t received) {
-                metrics.count_store_call(operation, result);
-                metrics.count_control_bytes("store", sent, received);
-            });
+        m_state.m_store =
+            store_client::create(m_context, m_state.m_settings.m_store, m_state.m_adapter.m_store,
+                                 m_state.m_settings.m_store_timeout,
+                                 [&metrics](std::string_view operation, error_kind result,
+                                            std::uint64_t sent, std::uint64_t received) {
+                                     metrics.count_store_call(operation, result);
+                                     metrics.count_control_bytes("store", sent, received);
+                                 });
     }
 
     bool open_peers(error& reason) {
--- a/src/node/operator_watch.cpp
+++ b/src/node/operator_watch.cpp
@@ -1,7 +1,7 @@
 // Reads the operators' configuration and orders straight from the store, where the store itself
-// accepts only what is valid. All items below one prefix make one text, whose version is the revision
-// of its latest change. A few members of each data centre watch the store, so that
-// its calls don't grow with the fleet; the others get each text from members.
+// accepts only what is valid. All items below one prefix make one text, whose version is the
+// revision of its latest change. A few members of each data centre watch the store, so that its
+// calls don't grow with the fleet; the others get each text from members.
 
 #include <algorithm>
 
@@ -17,8 +17,8 @@
 
 // How long a watch waits at the store. A dead connection is noticed earlier, by keep-alive probes.
 constexpr milliseconds watch_wait{10'000};
-// Pause after the first failed call, doubled up to the longest one, with as much again at random, so
-// that a fleet doesn't call in step.
+// Pause after the first failed call, doubled up to the longest one, with as much again at random,
+// so that a fleet doesn't call in step.
 constexpr milliseconds retry_pause{100};
 constexpr milliseconds longest_retry_pause{800};
 // Members of a data centre that watch: more than one, so that a change arrives while one of them
@@ -45,8 +45,8 @@
 
 void note_store(control& state, const store_reply& reply) {
     operator_watch& watch = state.m_operator;
-    const bool reached = reply.m_kind == error_kind::none ||
-                         reply.m_kind == error_kind::store_not_found;
+    const bool reached =
+        reply.m_kind == error_kind::none || reply.m_kind == error_kind::store_not_found;
     watch.m_failures = reached ? 0 : watch.m_failures + 1;
     if (reached || watch.m_failures >= failures_before_lost) {
         announce_store(state, !reached);
@@ -284,7 +284,8 @@
     if (!watch.m_entry_written && !watch.m_entry_busy && now >= watch.m_entry_retry_at) {
         write_entry(state);
     }
-    if (!watch.m_records_read && watch.m_candidate && !watch.m_records_busy && now >= watch.m_records_retry_at) {
+    if (!watch.m_records_read && watch.m_candidate && !watch.m_records_busy &&
+        now >= watch.m_records_retry_at) {
         read_records(state);
     }
     if (watch.m_busy || now < watch.m_retry_at) {
--- a/src/node/recorded.cpp
+++ b/src/node/recorded.cpp
@@ -311,8 +311,8 @@
     const wall_time wall = state.m_clock.wall_now();
     const std::string& id = state.m_move.m_move_id;
     // A duration counts from the order, which this node saw some time ago.
-    const auto since = std::chrono::duration_cast<milliseconds>(state.now() -
-                                                                state.m_move.m_ordered_at);
+    const auto since =
+        std::chrono::duration_cast<milliseconds>(state.now() - state.m_move.m_ordered_at);
     const wall_time deadline = service.m_move->m_order == 0
                                    ? service.m_move->m_deadline
                                    : wall + service.m_move->m_duration - since;
--- a/src/node/server_reports.cpp
+++ b/src/node/server_reports.cpp
@@ -43,8 +43,8 @@
         return {400, "application/json", "{}"};
     }
     const std::optional<server_report> before = state.m_own_server.m_report;
-    const report_verdict verdict = receive_report(
-        state.m_own_server, *report, state.m_settings.m_backend_server, state.now());
+    const report_verdict verdict =
+        receive_report(state.m_own_server, *report, state.m_settings.m_backend_server, state.now());
     if (verdict != report_verdict::taken || is_news(before, *report)) {
         log_report(*report, verdict);
     }
--- a/src/observe/log.hpp
+++ b/src/observe/log.hpp
@@ -52,8 +52,8 @@
 // buffer, and those beyond it are counted and dropped.
 void write_log_line(std::string_view line);
 
-// True: lines wait for flush_log or for a full batch, which spares system calls. False, as at first:
-// each line is written at once, so that a killed process has said what it did.
+// True: lines wait for flush_log or for a full batch, which spares system calls. False, as at
+// first: each line is written at once, so that a killed process has said what it did.
 void batch_log(bool batched);
 
 // Writes what waits, as far as standard output takes it.
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -10,7 +10,6 @@
 
 #include "base/dead_peer.hpp"
 
-
 namespace caraway {
 namespace {
 
@@ -134,8 +133,9 @@
             out.m_response = parser.release();
         }
         if (ec) {
-            out.m_kind = is_read(call.m_command.m_operation) || out.m_sent == 0 ? error_kind::store_unreachable
-                                                       : error_kind::store_outcome_unknown;
+            out.m_kind = is_read(call.m_command.m_operation) || out.m_sent == 0
+                             ? error_kind::store_unreachable
+                             : error_kind::store_outcome_unknown;
             out.m_text = ec.message();
             return out;
         }
--- a/src/traffic/admission_gate.cpp
+++ b/src/traffic/admission_gate.cpp
@@ -67,7 +67,8 @@
         const time_point now = m_clock.now();
         cold = is_cold(m_state, now);
         const time_point deadline = control.deadline();
-        const admission_result offered = admission_offer(m_state, call, level, deadline, now, useful_until);
+        const admission_result offered =
+            admission_offer(m_state, call, level, deadline, now, useful_until);
         if (is_recording()) {
             record_input(part, "offer", now,
                          {{"call", call},
--- a/src/traffic/admission_gate.hpp
+++ b/src/traffic/admission_gate.hpp
@@ -9,8 +9,8 @@
 #include <unordered_map>
 
 #include "decide/admission.hpp"
-#include "traffic/snapshot.hpp"
 #include "traffic/call_control.hpp"
+#include "traffic/snapshot.hpp"
 
 namespace caraway {
 
--- a/src/traffic/backend_side.cpp
+++ b/src/traffic/backend_side.cpp
@@ -304,7 +304,8 @@
                             asio::yield_context yield) {
     server_result result;
     bool cold = false;
-    if (!context.m_gate.enter(control, info.m_urgency, info.m_useful_until, cold, yield, result.m_reason)) {
+    if (!context.m_gate.enter(control, info.m_urgency, info.m_useful_until, cold, yield,
+                              result.m_reason)) {
         return result;
     }
     admission_slot slot(context.m_gate);
@@ -388,10 +389,11 @@
 namespace {
 
 bool leads_to(const route_spec& route, std::string_view service) {
-    return route.m_split.empty()
-               ? route.m_service == service
-               : std::any_of(route.m_split.begin(), route.m_split.end(),
-                             [service](const route_part& part) { return part.m_service == service; });
+    return route.m_split.empty() ? route.m_service == service
+                                 : std::any_of(route.m_split.begin(), route.m_split.end(),
+                                               [service](const route_part& part) {
+                                                   return part.m_service == service;
+                                               });
 }
 
 } // namespace
--- a/src/traffic/connection_pool.cpp
+++ b/src/traffic/connection_pool.cpp
@@ -99,7 +99,8 @@
             found->second.pop_back();
             --m_idle_count;
         }
-        if (now - taken->m_idle_since <= taken->m_max_idle_time && !is_readable_or_closed(taken->m_socket)) {
+        if (now - taken->m_idle_since <= taken->m_max_idle_time &&
+            !is_readable_or_closed(taken->m_socket)) {
             return taken;
         }
     }
@@ -114,8 +115,8 @@
     if (auto idle = take_idle(peer)) {
         return idle;
     }
-    auto made = std::make_unique<connection>(m_io, peer, read_ahead_bytes + (64U << 10U),
-                                             m_max_idle_time);
+    auto made =
+        std::make_unique<connection>(m_io, peer, read_ahead_bytes + (64U << 10U), m_max_idle_time);
     error_code failed;
     {
         const call_control::outgoing_guard guard(control, made->m_socket);
@@ -203,8 +204,8 @@
                 .ec != std::errc()) {
         return;
     }
-    const auto stated = std::chrono::duration_cast<milliseconds>(std::chrono::seconds(seconds) *
-                                                                 idle_time_share);
+    const auto stated =
+        std::chrono::duration_cast<milliseconds>(std::chrono::seconds(seconds) * idle_time_share);
     used.m_max_idle_time = std::min(used.m_max_idle_time, stated);
 }
 
--- a/src/traffic/connection_pool.hpp
+++ b/src/traffic/connection_pool.hpp
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -29,8 +28,8 @@
     boost::beast::flat_buffer m_buffer;
     time_point m_idle_since;
     milliseconds m_max_idle_time; // the other side may close it soon after
-    bool m_fresh = true;    // carried no request before the present one
-    bool m_reusable = true; // the last answer was whole and the peer keeps the connection
+    bool m_fresh = true;          // carried no request before the present one
+    bool m_reusable = true;       // the last answer was whole and the peer keeps the connection
 };
 
 // Bounds of one exchange over a connection.
--- a/src/traffic/entry_side.cpp
+++ b/src/traffic/entry_side.cpp
@@ -58,13 +58,15 @@
 
 // Tells the breaker how an attempt ended. A node that refuses answers, so it is reachable; one
 // whose backend server refuses connections is not.
-void update_breaker(backend_counters& counters, error_kind reason, time_point now) {
+void update_breaker(backend_counters& counters, error_kind reason, bool own, time_point now) {
     if (reason == error_kind::cancelled_before_send || reason == error_kind::cancelled_after_send) {
         return; // says nothing about the backend server
     }
     circuit_breaker breaker = load_breaker(counters);
-    if (reason == error_kind::connect_failed || reason == error_kind::connection_cut ||
-        reason == error_kind::deadline_after_send) {
+    if (reason == error_kind::connect_failed && !own) {
+        breaker_unreachable(breaker, now);
+    } else if (reason == error_kind::connect_failed || reason == error_kind::connection_cut ||
+               reason == error_kind::deadline_after_send) {
         breaker_failure(breaker, now);
     } else if (breaker.m_failures == 0) {
         return;
@@ -88,8 +90,8 @@
         const bool wanted = version.empty()
                                 ? is_old_version(call.m_service->m_spec, backend.m_version)
                                 : backend.m_version == version;
-        entry.m_usable = wanted &&
-                         !(backend.m_own && call.m_snapshot->m_own_refusal != error_kind::none);
+        entry.m_usable =
+            wanted && !(backend.m_own && call.m_snapshot->m_own_refusal != error_kind::none);
         entry.m_outstanding = counters.m_outstanding.load(std::memory_order_relaxed);
         entry.m_load_permille = counters.m_load_permille.load(std::memory_order_relaxed);
         entry.m_failure_permille = counters.m_failure_permille.load(std::memory_order_relaxed);
@@ -256,7 +258,7 @@
     if (backend.m_own) {
         note_answer(context, call, backend, reply.m_message, context.m_clock.now());
     }
-    update_breaker(*backend.m_counters, reply.m_reason, context.m_clock.now());
+    update_breaker(*backend.m_counters, reply.m_reason, backend.m_own, context.m_clock.now());
     return reply;
 }
 
@@ -297,7 +299,8 @@
         entry->second.m_budget.m_per_call = context.m_settings.m_retry_budget_percent / 100.0;
         entry->second.m_budget.m_tokens = context.m_settings.m_retry_burst;
         entry->second.m_budget.m_max_tokens =
-            std::min(entry->second.m_budget.m_max_tokens, max_retry_bursts * entry->second.m_budget.m_tokens);
+            std::min(entry->second.m_budget.m_max_tokens,
+                     max_retry_bursts * entry->second.m_budget.m_tokens);
     }
     budget_deposit(entry->second.m_budget);
     return !service.m_new_version.empty() &&
@@ -387,8 +390,8 @@
         (context.m_draining.load(std::memory_order_relaxed) || call.m_snapshot->m_draining)) {
         return refused(error_kind::draining, "the instance is leaving");
     }
-    const route_spec* route = match_route(*call.m_snapshot->m_mesh, host_of(request),
-                                          path_of(target_of(request)));
+    const route_spec* route =
+        match_route(*call.m_snapshot->m_mesh, host_of(request), path_of(target_of(request)));
     if (route == nullptr) {
         return refused(error_kind::no_route, "no route has a prefix of this path");
     }
@@ -402,9 +405,9 @@
         return refused(error_kind::no_backend_server, "the service is not known here");
     }
     call.m_service = &service->second;
-    const milliseconds allowed =
-        std::min(route->m_timeout, time_left(request, context.m_settings.m_edge.m_deadline_ms)
-                                       .value_or(route->m_timeout));
+    const milliseconds allowed = std::min(
+        route->m_timeout,
+        time_left(request, context.m_settings.m_edge.m_deadline_ms).value_or(route->m_timeout));
     if (allowed.count() <= 0) {
         return refused(error_kind::deadline_before_send, "the caller's deadline has passed");
     }
@@ -431,8 +434,7 @@
     call.m_snapshot = context.m_snapshot.load();
     call.m_info.m_key = header_of(request, header::idempotency_key);
     call.m_info.m_first_sent_ms = number_header(request, header::first_sent);
-    call.m_info.m_request_number =
-        header_of(request, context.m_settings.m_edge.m_request_number);
+    call.m_info.m_request_number = header_of(request, context.m_settings.m_edge.m_request_number);
     call.m_info.m_hop = 1 + static_cast<std::uint32_t>(std::min<std::uint64_t>(
                                 number_header(request, header::hop).value_or(0), max_hops));
     call.m_info.m_trace = continue_trace(header_of(request, header::traceparent), control.random());
--- a/src/traffic/snapshot.hpp
+++ b/src/traffic/snapshot.hpp
@@ -59,8 +59,8 @@
     std::string m_server; // its identity, empty if it doesn't report itself
     std::string m_service;
     std::string m_version;
-    std::uint32_t m_slots = 0; // 0: those of the service
-    time_point m_cold_until;   // it says that it is cold until then
+    std::uint32_t m_slots = 0;               // 0: those of the service
+    time_point m_cold_until;                 // it says that it is cold until then
     error_kind m_refusal = error_kind::none; // why it takes no new work now
     friend bool operator==(const own_server_view&, const own_server_view&) = default;
 };
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -173,7 +173,9 @@
     if (m_caller_acceptor.is_open()) {
         asio::spawn(
             m_accept_strand,
-            [this](asio::yield_context yield) { accept_connections(m_caller_acceptor, true, yield); },
+            [this](asio::yield_context yield) {
+                accept_connections(m_caller_acceptor, true, yield);
+            },
             asio::detached);
     }
     start_upkeep();
--- a/src/traffic/traffic_context.hpp
+++ b/src/traffic/traffic_context.hpp
@@ -60,7 +60,7 @@
     std::map<std::string, arm_counts, std::less<>> m_evidence; // by route
 
     std::mutex m_entry_mutex;
-    std::unordered_map<std::string, entry_state> m_entries;   // by service
+    std::unordered_map<std::string, entry_state> m_entries; // by service
     std::unordered_map<std::string, split_choice> m_splits; // by host and path of the route
 
     exchange_limits limits() const {
@@ -83,7 +83,7 @@
     urgency m_urgency = urgency::normal;
     bool m_idempotent = false;
     time_point m_useful_until; // when an answer loses most of its worth; not known if long past
-    std::string m_key; // idempotency key, empty if none
+    std::string m_key;         // idempotency key, empty if none
     std::optional<std::uint64_t> m_first_sent_ms;
     std::string m_request_number;
     std::uint32_t m_hop = 0; // depth of this call; 1 for a caller's
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -4,9 +4,9 @@
 #include <set>
 
 #include "base/random.hpp"
-#include <vector>
 #include "decide/admission.hpp"
 #include "tests/support.hpp"
+#include <vector>
 
 using namespace caraway;
 
@@ -259,8 +259,9 @@
     BOOST_TEST(!is_cold(state, now));
     BOOST_TEST(!admission_tick(state, now).m_run.empty());
     BOOST_TEST(state.m_queue.empty());
-    BOOST_TEST((admission_offer(state, call, urgency::normal, now + milliseconds(500), now)
-                    .m_verdict == admission_verdict::run));
+    BOOST_TEST(
+        (admission_offer(state, call, urgency::normal, now + milliseconds(500), now).m_verdict ==
+         admission_verdict::run));
 }
 
 // Guards against a lasting overload in which every call waits so long that none is served in time:
@@ -279,8 +280,7 @@
     int in_time = 0;
     int late = 0;
     std::uint64_t call = 1;
-    for (time_point now{}; now < time_point{} + std::chrono::seconds(10);
-         now += milliseconds(1)) {
+    for (time_point now{}; now < time_point{} + std::chrono::seconds(10); now += milliseconds(1)) {
         std::vector<std::uint64_t> begun;
         while (!running.empty() && running.begin()->first <= now) {
             const bool good = now - arrived[running.begin()->second] <= target;
--- a/tests/observe_test.cpp
+++ b/tests/observe_test.cpp
@@ -97,7 +97,8 @@
     BOOST_TEST(text.find("caraway_call_seconds_bucket") != std::string::npos);
 }
 
-// Guards against a log that grows without bound, or hides that it lost lines, while nobody reads it.
+// Guards against a log that grows without bound, or hides that it lost lines, while nobody reads
+// it.
 BOOST_AUTO_TEST_CASE(a_full_log_drops_lines_and_says_how_many) {
     log_buffer buffer;
     const std::string line(1'000, 'x');
--- a/tests/own_server_test.cpp
+++ b/tests/own_server_test.cpp
@@ -70,8 +70,7 @@
 BOOST_AUTO_TEST_CASE(a_silent_or_unreachable_server_gets_nothing) {
     own_server server;
     take(server, make_report("a", 1, 100));
-    BOOST_TEST(
-        (server_refusal(server, start + silence, silence) == error_kind::none));
+    BOOST_TEST((server_refusal(server, start + silence, silence) == error_kind::none));
     BOOST_TEST((server_refusal(server, start + silence + milliseconds(1), silence) ==
                 error_kind::connect_failed));
     server.m_unreachable = true;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -190,8 +190,8 @@
     BOOST_TEST(contains(request.m_body, R"("expect":[{"key":"a/b","revision":0}])"));
     BOOST_TEST(contains(request.m_body, R"("value":"YQD/IHo=")"));
     BOOST_TEST(contains(request.m_body, R"("lease":77)"));
-    const auto read = decode(
-        op::get, 200, R"({"key":"a/b","value":"YQD/IHo=","revision":4,"current_rev":9})");
+    const auto read =
+        decode(op::get, 200, R"({"key":"a/b","value":"YQD/IHo=","revision":4,"current_rev":9})");
     BOOST_TEST(read.m_value == bytes);
     BOOST_TEST(read.m_revision == 4U);
     const auto page = decode(
--- a/tests/retry_balance_test.cpp
+++ b/tests/retry_balance_test.cpp
@@ -296,4 +296,17 @@
     BOOST_TEST(may_retry(shed, full, now));
 }
 
+// Guards against calls that each wait for a connection to a machine without power.
+BOOST_AUTO_TEST_CASE(an_unreachable_server_opens_its_breaker_at_once) {
+    circuit_breaker breaker;
+    time_point now{std::chrono::seconds(1)};
+    breaker_unreachable(breaker, now);
+    BOOST_TEST(breaker_is_open(breaker, now));
+    now += milliseconds(250);
+    BOOST_TEST(!breaker_is_open(breaker, now));
+    BOOST_TEST(breaker_try(breaker, now));
+    breaker_success(breaker);
+    BOOST_TEST(!breaker_is_open(breaker, now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
