--- /dev/null
+++ b/tests/integration/platform_standins.py
@@ -0,0 +1,222 @@
+"""Stand-ins of the platform: its key-value store and backend servers that report themselves.
+
+Both run as threads of the test. The store keeps items with revisions, answers watches, writes under
+conditions and leases; it can be told to refuse every call.
+"""
+import base64
+import http.server
+import json
+import threading
+import time
+import urllib.parse
+import uuid
+
+from harness import HOST, request
+
+
+class _Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+
+
+def _serve(handler, port=0):
+    server = _Server((HOST, port), handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server, f"{HOST}:{server.server_address[1]}"
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        pass
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+    def reply(self, status, value=None, headers=None):
+        data = value if isinstance(value, bytes) else json.dumps(value or {}).encode()
+        self.send_response(status)
+        for name, text in (headers or {}).items():
+            self.send_header(name, text)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+
+class PlatformStore:
+    """The store; the test is its operator."""
+
+    def __init__(self):
+        self.items, self.events, self.leases = {}, [], {}
+        self.revision, self.calls, self.down = 1, 0, False
+        self.changed = threading.Condition()
+        store = self
+
+        class Handler(_Handler):
+            def do_GET(self):
+                store.answer_read(self)
+
+            def do_POST(self):
+                store.answer_write(self, self.body())
+
+            do_DELETE = do_POST
+
+        self.server, self.address = _serve(Handler)
+
+    def put(self, key, value):
+        """Writes as the operator. Returns the revision."""
+        with self.changed:
+            return self._write(key, value.encode(), 0)
+
+    def delete(self, key):
+        with self.changed:
+            self._delete(key)
+
+    def value(self, key):
+        with self.changed:
+            item = self.items.get(key)
+            return base64.b64decode(item["value"]).decode() if item else None
+
+    def _write(self, key, value, lease):
+        self.revision += 1
+        created = self.items[key]["create_revision"] if key in self.items else self.revision
+        self.items[key] = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease,
+                           "revision": self.revision, "create_revision": created}
+        self.events.append(self.items[key])
+        self.changed.notify_all()
+        return self.revision
+
+    def _delete(self, key):
+        if self.items.pop(key, None):
+            self.revision += 1
+            self.events.append({"key": key, "revision": self.revision, "deleted": True})
+            self.changed.notify_all()
+
+    def _expire(self):
+        for lease, (until, _) in list(self.leases.items()):
+            if time.monotonic() > until:
+                self._end(lease)
+
+    def _end(self, lease):
+        self.leases.pop(lease, None)
+        for key in [k for k, item in self.items.items() if item["lease"] == lease]:
+            self._delete(key)
+
+    def answer_read(self, call):
+        self.calls += 1
+        url = urllib.parse.urlsplit(call.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        if self.down:
+            return call.reply(503)
+        with self.changed:
+            self._expire()
+            if url.path == "/api/kv-key":
+                item = self.items.get(query["key"])
+                return call.reply(200 if item else 404,
+                                  {**(item or {}), "current_rev": self.revision})
+            prefix = query["path_prefix"]
+            if url.path == "/api/kv-range":
+                rows = [self.items[k] for k in sorted(self.items)
+                        if k.startswith(prefix) and k > query.get("after", "")]
+                # Two rows a page, so that every list has to read several.
+                return call.reply(200, {"items": rows[:2], "has_more": len(rows) > 2,
+                                        "current_rev": self.revision})
+
+            def news():
+                return [e for e in self.events
+                        if e["revision"] > int(query["after"]) and e["key"].startswith(prefix)]
+            self.changed.wait_for(lambda: news() or self.down, int(query["wait_ms"]) / 1000)
+            answer = {"events": news(), "current_rev": self.revision}
+        return call.reply(503 if self.down else 200, answer)
+
+    def answer_write(self, call, body):
+        self.calls += 1
+        if self.down:
+            return call.reply(503)
+        with self.changed:
+            self._expire()
+            if call.path == "/api/kv-lease":
+                ttl = json.loads(body)["ttl_ms"]
+                lease = len(self.leases) + 1000 + self.revision
+                self.leases[lease] = (time.monotonic() + ttl / 1000, ttl)
+                return call.reply(200, {"lease": lease, "ttl_ms": ttl})
+            if call.path != "/api/kv-txn":
+                lease = int(call.path.rsplit("/", 1)[1])
+                if lease not in self.leases:
+                    return call.reply(404)
+                ttl = self.leases[lease][1]
+                self.leases[lease] = (time.monotonic() + ttl / 1000, ttl)
+                if call.command == "DELETE":
+                    self._end(lease)
+                return call.reply(200, {"ttl_ms": ttl})
+            change = json.loads(body)
+            for row in change["expect"]:
+                item = self.items.get(row["key"], {"key": row["key"], "revision": 0, "value": ""})
+                if item["revision"] != row["revision"]:
+                    return call.reply(412, {"items": [item]})
+            for row in change["writes"]:
+                if row["lease"] and row["lease"] not in self.leases:
+                    return call.reply(404)
+                if row["key"].startswith(("op/", "servers/")):
+                    return call.reply(403)
+                self._write(row["key"], base64.b64decode(row["value"]), row["lease"])
+            for key in change["deletes"]:
+                self._delete(key)
+            return call.reply(200, {"revision": self.revision})
+
+
+class ReportingServer:
+    """A backend server that seals its answers and reports itself to the node beside it."""
+
+    def __init__(self, service, data_centre, reports_address, version="v1"):
+        self.service, self.data_centre, self.version = service, data_centre, version
+        self.reports_address = reports_address
+        self.identity = "i-" + uuid.uuid4().hex[:8]
+        self.born, self.sequence, self.state = int(time.time() * 1000), 0, "ready"
+        self.runs, self.callers, self.delay_s = [], set(), 0
+        self.stopped = threading.Event()
+        server = self
+
+        class Handler(_Handler):
+            def do_GET(self):
+                server.answer(self, self.body())
+
+            do_POST = do_GET
+
+        self.server, self.address = _serve(Handler)
+        threading.Thread(target=self._report_always, daemon=True).start()
+
+    def answer(self, call, body):
+        expected = call.headers.get("X-Carawaytray-Expected-Instance")
+        if expected != self.identity:
+            return call.reply(421, headers={"X-Carawaytray-Instance-Id": self.identity})
+        number = call.headers["X-Carawaytray-Attempt-Id"]
+        self.runs.append((number, time.monotonic()))
+        self.callers.add(call.headers.get("X-Carawaytray-Caller-Service"))
+        time.sleep(self.delay_s)
+        return call.reply(200, body or f"{self.identity} {call.path}".encode(),
+                          {"X-Carawaytray-Attempt-Id": number,
+                           "X-Carawaytray-Server-Seal": self.identity})
+
+    def report(self):
+        """Sends one report. Returns the status of the answer, None without one."""
+        self.sequence += 1
+        value = {"address": self.address, "born": self.born,
+                 "info": {"service": self.service, "version": self.version,
+                          "zone": self.data_centre, "slots": 4},
+                 "status": {"state": self.state, "call_seq": self.sequence, "warmup_left_ms": 0}}
+        try:
+            return request(self.reports_address, "POST",
+                           "/api/Instances.Heartbeat/" + self.identity, json.dumps(value).encode(),
+                           timeout_s=1)[0]
+        except OSError:
+            return None
+
+    def leave(self):
+        return request(self.reports_address, "POST",
+                       "/api/Instances.Deregister/" + self.identity, b"{}", timeout_s=1)[0]
+
+    def _report_always(self):
+        while not self.stopped.wait(0.3):
+            self.report()
--- /dev/null
+++ b/tests/integration/platform_test.py
@@ -0,0 +1,192 @@
+"""Nodes on the platform: a small calm day through the adapter, with real processes, a stand-in of the
+platform's store and backend servers that report themselves."""
+import json
+import time
+import uuid
+
+from harness import HOST, Harness, free_ports, request, run_tests, wait_until
+from platform_standins import PlatformStore, ReportingServer
+
+READY_S = 10
+APPLY_S = 2        # an accepted configuration is in force
+EVACUATE_S = 3     # a data centre that was taken out gets nothing
+
+SETTINGS = """
+[instance]
+name = "{name}"
+data_centre = "{data_centre}"
+service = "{service}"
+[listen]
+callers = "{host}:{callers}"
+traffic = "{host}:{traffic}"
+peer_udp = "{host}:{peer}"
+peer_bulk = "{host}:{peer}"
+admin = "{host}:{admin}"
+reports = "{host}:{reports}"
+[backend_server]
+address = "{server}"
+health_interval = "0ms"
+report_interval = "300ms"
+[store]
+addresses = ["{store}"]
+timeout = "500ms"
+lease_period = "2s"
+[peers]
+fetch_timeout = "400ms"
+join_backoff_max = "500ms"
+[shutdown]
+announce_time = "500ms"
+drain_timeout = "3s"
+"""
+
+
+def config(version, routes):
+    return json.dumps({
+        "version": f"{version:08x}",
+        "routes": [{"name": path, "host": "shop.example", "path_prefix": path, "kind": kind,
+                    "timeout_ms": 2000, "target_latency_ms": 500, "priority": 0, "attempts": 2,
+                    **target} for path, kind, target in routes],
+        "services": [{"name": name, "max_connections": 100, "warmup_s": 3, "warmup_per_s": 14.0}
+                     for name in ("orders", "stock")]})
+
+
+FIRST = [("/orders/", "non_idempotent", {"service": "orders"}),
+         ("/stock/", "idempotent", {"service": "stock"}),
+         ("/both/", "idempotent", {"traffic_split": [{"service": "orders", "weight": 75},
+                                                     {"service": "stock", "weight": 25}]})]
+
+
+class Instance:
+    """A node and the backend server beside it."""
+
+    def __init__(self, harness, store, name, service, data_centre):
+        self.harness, self.name = harness, name
+        ports = free_ports(5)
+        callers, traffic, peer, admin, reports = ports
+        self.callers, self.admin = f"{HOST}:{callers}", f"{HOST}:{admin}"
+        self.server = ReportingServer(service, data_centre, f"{HOST}:{reports}")
+        self.file = harness.path(name + ".toml")
+        with open(self.file, "w") as out:
+            out.write(SETTINGS.format(name=name, data_centre=data_centre, service=service,
+                                      host=HOST, callers=callers, traffic=traffic, peer=peer,
+                                      admin=admin, reports=reports, server=self.server.address,
+                                      store=store.address))
+        self.start()
+
+    def start(self):
+        self.node = self.harness.start("carawayd", "--platform", self.file, name=self.name,
+                                       ready="node_started")
+
+    def ready(self):
+        try:
+            return request(self.admin, "GET", "/api/ready", timeout_s=1)[0] == 200
+        except OSError:
+            return False
+
+    def call(self, path, body=b"", deadline_ms=2000, number=None):
+        """Returns the status and the body of the answer."""
+        number = number or uuid.uuid4().hex[:16]
+        answer = request(self.callers, "POST" if body else "GET", path, body,
+                         {"Host": "shop.example", "X-Carawaytray-Attempt-Id": number,
+                          "X-Carawaytray-Deadline-Ms": str(deadline_ms)})
+        return answer[0], answer[-1]
+
+
+class Platform:
+    """A store and four instances in two data centres."""
+
+    def __enter__(self):
+        self.harness = Harness()
+        self.harness.__enter__()
+        self.store = PlatformStore()
+        self.store.put("op/config", config(5, FIRST))
+        self.instances = [Instance(self.harness, self.store, f"{service}-{place}", service, place)
+                          for service in ("orders", "stock") for place in ("north", "south")]
+        wait_until(lambda: all(i.ready() for i in self.instances), READY_S, "ready")
+        for path in ("/orders/x", "/stock/x"):
+            wait_until(lambda: all(i.call(path)[0] == 200 for i in self.instances), READY_S, path)
+        return self
+
+    def __exit__(self, kind, value, trace):
+        for each in self.instances:
+            each.server.stopped.set()
+        self.harness.__exit__(kind, value, trace)
+
+
+def test_calm_day():
+    """Guards against a path through the adapter that loses, changes or misroutes a call, against a
+    configuration that is not in force in time, and against 404 for a route that is there."""
+    with Platform() as platform:
+        entry = platform.instances[0]
+        body = bytes(range(256)) * 40
+        assert entry.call("/orders/big", body) == (200, body)
+        assert entry.call("/nowhere/")[0] == 404
+        before = [len(i.server.runs) for i in platform.instances]
+        for _ in range(40):
+            assert entry.call("/both/y")[0] == 200
+        runs = [len(i.server.runs) - n for i, n in zip(platform.instances, before)]
+        assert runs[0] + runs[1] == 30 and runs[2] + runs[3] == 10, runs
+        assert {c for i in platform.instances for c in i.server.callers} <= {"orders", "stock"}
+        platform.store.put("op/config", config(9, [*FIRST[:2], ("/new/", "idempotent",
+                                                               {"service": "stock"})]))
+        since = time.monotonic()
+        wait_until(lambda: all(i.call("/new/z")[0] == 200 and i.call("/both/z")[0] == 404
+                               for i in platform.instances), APPLY_S, "in force")
+        took = time.monotonic() - since
+        numbers = [n for i in platform.instances for n, _ in i.server.runs]
+        assert len(numbers) == len(set(numbers)), "a call ran twice"
+        return f"{len(numbers)} runs, in force after {took:.2f} s, {platform.store.calls} store calls"
+
+
+def test_drain_and_evacuation():
+    """Guards against calls to a server after its leave was acknowledged, and to a data centre that
+    was taken out, while calls go on elsewhere."""
+    with Platform() as platform:
+        first, second = platform.instances[0], platform.instances[1]
+        first.server.state = "draining"
+        assert first.server.report() == 200
+        drained = time.monotonic()
+        for _ in range(20):
+            assert first.call("/orders/a")[0] == 200
+        assert all(at < drained for _, at in first.server.runs), "a run after the leave"
+        assert second.server.leave() == 200
+        left = time.monotonic()
+        status, _ = second.call("/orders/b")
+        assert status == 503, status
+        assert all(at < left for _, at in second.server.runs)
+        platform.store.put("op/evacuate/north", "{}")
+        time.sleep(EVACUATE_S)
+        since = time.monotonic()
+        for _ in range(20):
+            assert first.call("/stock/c")[0] == 200
+        north, south = platform.instances[2], platform.instances[3]
+        assert all(at < since for _, at in north.server.runs), "a run in an evacuated data centre"
+        assert sum(at > since for _, at in south.server.runs) == 20
+        platform.store.delete("op/evacuate/north")
+        wait_until(lambda: [first.call("/stock/d") for _ in range(8)] and
+                   any(at > since for _, at in north.server.runs), 5, "taken back")
+
+
+def test_store_away():
+    """Guards against calls that fail while the store is away, and against a node that can't start
+    then although members know the configuration."""
+    with Platform() as platform:
+        platform.store.down = True
+        with platform.store.changed:
+            platform.store.changed.notify_all()
+        restarted, entry = platform.instances[2], platform.instances[0]
+        restarted.node.kill()
+        restarted.node.wait(5)
+        for _ in range(20):
+            assert entry.call("/stock/a")[0] == 200
+        restarted.start()
+        wait_until(restarted.ready, READY_S, "ready without the store")
+        wait_until(lambda: restarted.call("/orders/a")[0] == 200, 5, "calls without the store")
+        platform.store.down = False
+        platform.store.put("op/config", config(6, FIRST[:2]))
+        wait_until(lambda: all(i.call("/both/a")[0] == 404 for i in platform.instances), 5,
+                   "in force after the store's return")
+
+
+if __name__ == "__main__":
+    run_tests([test_calm_day, test_drain_and_evacuation, test_store_away])
