--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -38,7 +38,7 @@
     error_answer{k::hop_limit, "hop-limit", o::not_run, 508, false, 1},
     error_answer{k::connect_failed, "connect-failed", o::not_run, 503, true, 1},
     error_answer{k::backend_shed, "backend-shed", o::not_run, 503, true, 1},
-    error_answer{k::deadline_before_send, "deadline-before-send", o::deadline, 504, false, 1},
+    error_answer{k::deadline_before_send, "deadline-before-send", o::deadline, 503, false, 1},
     error_answer{k::cancelled_before_send, "cancelled-before-send", o::not_run, 499, false, 1},
     error_answer{k::bad_request, "bad-request", o::not_run, 400, false, 1},
     error_answer{k::connection_cut, "connection-cut", o::unknown, 502, false, 1},
