Ask for whole member tables again only in small meshes

Cause: a reply of 14,000 members has some 1.3 MB; three of them a second for 6 s would exceed a starting node's bound.

--- a/src/node/join.cpp
+++ b/src/node/join.cpp
@@ -17,6 +17,8 @@
 // start together, those that answer first know only a few of the others.
 constexpr milliseconds complete_interval{1'000};
 constexpr milliseconds complete_time{6'000};
+// Only in small meshes: a reply holds the whole table, some 90 bytes a member.
+constexpr std::size_t complete_members = 500;
 
 // Admits at most the configured number of joins in a second, so that a restarting data centre
 // can't take the control thread away from the members that are up.
@@ -199,7 +201,8 @@
         return;
     }
     if (joined) {
-        if (now - join.m_first_attempt < complete_time && state.reads_operator_items()) {
+        if (now - join.m_first_attempt < complete_time && state.reads_operator_items() &&
+            state.m_members.m_live < complete_members) {
             join.m_next_attempt = now + complete_interval;
             ask_known_members(state, true);
         }
