Repeat a call that the new version failed on the old one

An idempotent call that its server answers with an error is now tried again, and the second try chose the new version again: one more call there for each failed one, beyond the version's share of 4%. Change: after an attempt that reached a server of the new version, the call goes on with the old one.

--- a/src/traffic/entry_side.cpp
+++ b/src/traffic/entry_side.cpp
@@ -346,12 +346,13 @@
         if (control.is_ended() || !retry_allowed(context, control, call, failure)) {
             return may_have_run ? std::move(*last) : std::move(reply);
         }
-        if (may_have_run) {
-            new_version = new_version && reply.m_reason != error_kind::version_suspended;
-            continue; // keeps the reply that says more
+        // A call that a server of the new version failed goes on with the old one: a repeat there
+        // would be one more than the version's share.
+        new_version = new_version && reply.m_reason != error_kind::version_suspended &&
+                      !reached_server(reply.m_reason);
+        if (!may_have_run) { // else the earlier reply says more
+            last = std::move(reply);
         }
-        new_version = new_version && reply.m_reason != error_kind::version_suspended;
-        last = std::move(reply);
     }
 }
 
