Remember a leave that came before any report of its server

Change: the last leave of an unknown server is kept; reports of that incarnation are stale. Result: own_server_test has the case, which the code before fails by taking the report.

--- a/src/decide/own_server.cpp
+++ b/src/decide/own_server.cpp
@@ -8,6 +8,13 @@
            server.m_report->m_started_ms == started_ms;
 }
 
+// True for a late report of a server that said before that it stops.
+bool has_left(const own_server& server, const server_report& report) {
+    const auto& leave = server.m_unknown_leave;
+    return leave && leave->m_server == report.m_server && leave->m_started_ms &&
+           report.m_started_ms <= *leave->m_started_ms;
+}
+
 } // namespace
 
 std::string_view report_verdict_name(report_verdict value) {
@@ -27,6 +34,9 @@
     if (report.m_address != own_address) {
         return report_verdict::foreign;
     }
+    if (has_left(server, report)) {
+        return report_verdict::stale;
+    }
     if (is_current(server, report.m_server, report.m_started_ms)) {
         if (report.m_sequence <= server.m_report->m_sequence) {
             return report_verdict::stale;
@@ -35,7 +45,9 @@
         if (server.m_report && report.m_started_ms <= server.m_report->m_started_ms) {
             return report_verdict::stale;
         }
+        const auto unknown_leave = server.m_unknown_leave;
         server = own_server{};
+        server.m_unknown_leave = unknown_leave;
     }
     server.m_report = report;
     server.m_reported_at = now;
@@ -46,6 +58,7 @@
 
 report_verdict receive_leave(own_server& server, const server_leave& leave) {
     if (!server.m_report || server.m_report->m_server != leave.m_server) {
+        server.m_unknown_leave = leave;
         return report_verdict::stale;
     }
     if (leave.m_started_ms && *leave.m_started_ms != server.m_report->m_started_ms) {
--- a/tests/own_server_test.cpp
+++ b/tests/own_server_test.cpp
@@ -79,4 +79,16 @@
     BOOST_TEST((server_refusal(server, start + silence, silence) == error_kind::none));
 }
 
+// Guards against a late report that arrives after the leave of the same server, at a node that has
+// restarted in between and knew nothing of the server when it acknowledged the leave.
+BOOST_AUTO_TEST_CASE(a_leave_before_any_report_binds) {
+    own_server server;
+    BOOST_TEST((receive_leave(server, {"a", 100}) == report_verdict::stale));
+    BOOST_TEST((take(server, make_report("a", 18, 100)) == report_verdict::stale));
+    BOOST_TEST((server_refusal(server, start, silence) == error_kind::connect_failed));
+    BOOST_TEST((take(server, make_report("a", 1, 200)) == report_verdict::taken));
+    BOOST_TEST((take(server, make_report("a", 19, 100)) == report_verdict::stale));
+    BOOST_TEST((server_refusal(server, start, silence) == error_kind::none));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
