Judge a version's latency with a tolerance for server speed, never by one server

Servers of one service differ in speed by more than twice, and the node compared its one server with the whole old version. After the rollback the old servers alone were overloaded. Change: a node on its own judges failures only; where the reports of all servers are weighed, calls of the new version count as slow one latency class (1.5 times) later than those of the old one. The new unit test fails without the change (likelihood ratio 1e+100) and passes with it; the 1,000 simulated moves of version_move_test hold.

--- a/src/decide/move_evidence.cpp
+++ b/src/decide/move_evidence.cpp
@@ -59,6 +59,9 @@
 };
 constexpr std::array<latency_alternative, latency_alternatives> latency_tests{
     {{0.25, 3}, {0.25, 20}, {0.05, 3}, {0.05, 20}}};
+// Servers of one service differ in speed, and a version has few of them: calls of the new version
+// count as slow from this many classes (1.5 times each) above the threshold of the old version's.
+constexpr std::size_t server_speed_classes = 1;
 // Old calls in the window before a threshold is taken from it.
 constexpr double window_min_calls = 20;
 // Windows forget within about 40 intervals, so that thresholds follow the time of day.
@@ -300,8 +303,9 @@
     return result;
 }
 
-// Latency classes of a batch. The thresholds come from the window before the batch.
-interval_ratios<latency_alternatives> test_latency(const route_test& test) {
+// Latency classes of a batch. The thresholds come from the window before the batch; those of the
+// new version's calls lie tolerance classes higher.
+interval_ratios<latency_alternatives> test_latency(const route_test& test, std::size_t tolerance) {
     interval_ratios<latency_alternatives> result;
     const std::uint64_t n_new = latency_calls(test.m_pending_new);
     const std::uint64_t n_old = latency_calls(test.m_pending_old);
@@ -313,7 +317,7 @@
         if (!threshold) {
             return result;
         }
-        const std::uint64_t x = calls_above(test.m_pending_new, *threshold);
+        const std::uint64_t x = calls_above(test.m_pending_new, *threshold + tolerance);
         const std::uint64_t s = x + calls_above(test.m_pending_old, *threshold);
         if (s > 0 && s < n_new + n_old) {
             result.m_informative = true;
@@ -351,12 +355,12 @@
     }
     if (fresh.m_calls > 0) {
         const auto failures = test_failures(test, old_seen);
-        const auto latency = test_latency(test);
+        const auto latency = test_latency(test, server_speed_classes);
         update(test.m_failures, failures, cap);
         update(test.m_latency, latency, cap);
         combine(all_failures, failures);
         combine(all_latency, latency);
-        add_good(test.m_latency_good, -latency.m_log[0], cap);
+        add_good(test.m_latency_good, -test_latency(test, 0).m_log[0], cap);
         score_failures(test, cap);
     }
     for (std::size_t i = 0; i < latency_classes; ++i) {
@@ -400,9 +404,11 @@
 }
 
 // The first test whose ratio reaches the threshold, with the reason. instances: 0 at the holder,
-// else the number of nodes that judge on their own.
+// else the number of nodes that judge on their own. These compare failures only: a single server
+// that is slower than the others, or has more of the calls, says nothing of its version's latency.
 std::optional<evidence_result> find_bad(const move_evidence& evidence, std::uint32_t instances) {
     const double threshold = std::exp(log_threshold(evidence.m_routes.size(), instances));
+    const bool compares_latency = instances == 0;
     const auto result = [&](std::string_view route, std::string_view what, double ratio) {
         return evidence_result{evidence_verdict::bad, std::string(route),
                                fmt::format("{}: {}; likelihood ratio {:.2g}, bound {:.2g}", route,
@@ -419,7 +425,7 @@
                           failures);
         }
         const double latency = mean(test.m_latency.m_ratios);
-        if (latency >= threshold) {
+        if (compares_latency && latency >= threshold) {
             return result(route,
                           fmt::format("slower, recent median at most {:.1f} ms in the new "
                                       "version, {:.1f} ms in the old one",
@@ -432,7 +438,7 @@
         return result("all routes", "fails more often", failures);
     }
     const double latency = mean(evidence.m_latency.m_ratios);
-    if (latency >= threshold) {
+    if (compares_latency && latency >= threshold) {
         return result("all routes", "slower", latency);
     }
     return std::nullopt;
--- a/tests/version_move_test.cpp
+++ b/tests/version_move_test.cpp
@@ -123,6 +123,30 @@
     BOOST_TEST(feed(slower, 100, old_arm, {10, 0.002, 60, false}, random) <= 6);
 }
 
+// Guards against a good version taken back because one of its servers is slower than the others: a
+// server at 1.6 times the usual service time, beside old ones at 0.7 times, judged its version
+// alone.
+BOOST_AUTO_TEST_CASE(a_slow_server_is_not_evidence_of_its_version) {
+    random_source random(first_seed());
+    std::string reason;
+    move_evidence own;
+    own.m_instances = 6;
+    const auto add = [&own, &random](int intervals, double failure_share) {
+        for (int i = 0; i < intervals; ++i) {
+            const std::array reports{report("v1", "/a", {20, 0, 155, false}, random),
+                                     report("v2", "/a", {40, failure_share, 352, false}, random)};
+            add_evidence(own, reports, "v1", "v2");
+        }
+    };
+    add(100, 0);
+    BOOST_TEST(!is_locally_bad(own, reason), reason);
+    // Failures of the own server still stop the version.
+    add(4, 0.5);
+    BOOST_TEST(is_locally_bad(own, reason));
+    move_evidence holder;
+    BOOST_TEST(feed(holder, 300, {100, 0, 150, false}, {100, 0, 200, false}, random) == 300);
+}
+
 // Guards against an overload of both versions, cold calls, or one crashed server taken for a bad
 // version.
 BOOST_AUTO_TEST_CASE(other_troubles_are_not_evidence) {
