Remember refusals at the sender, advise callers when to return, serve late calls last

The load told counts the queue and the pace of a cold start. Calls known to be late by their deadline wait behind others of their urgency. A queue is as long as leaves a whole latency in reserve. Unit tests pass.

--- a/src/decide/admission.cpp
+++ b/src/decide/admission.cpp
@@ -41,6 +41,12 @@
 // a server that became slower for good opens again. Longer than cold starts (some seconds), which
 // would otherwise look warm.
 constexpr std::chrono::duration<double> best_drift{60.0};
+// A call has to fit into its useful time with this part of the smoothed latency to spare: calls
+// differ in the time that they take, and with a queue as long as the estimate allows, half of them
+// would be late in an overload that lasts.
+constexpr int reserve_percent = 100;
+// Highest load told: more waiting calls make no difference to whom callers choose.
+constexpr std::uint64_t max_load_permille = 10'000;
 
 std::uint32_t allowed(const admission_state& state) {
     const auto limit = static_cast<std::uint32_t>(state.m_cold_limit);
@@ -86,23 +92,22 @@
         return busy;
     }
     const std::chrono::duration<double> paced(ahead / state.m_limits.m_cold_per_second);
-    return std::max(busy, std::chrono::duration_cast<duration>(paced));
+    return std::max(busy, std::chrono::duration_cast<duration>(paced) + state.m_smoothed_latency);
 }
 
-// The same in whole rounds of the slots: the calls that run now may all have just begun.
-duration careful_time(const admission_state& state, std::uint32_t ahead) {
-    const std::uint32_t limit = allowed(state);
-    return state.m_smoothed_latency * (1 + (ahead + limit - 1) / limit);
+// The same with a reserve, since calls differ in the time that they take.
+duration careful_time(const admission_state& state, std::uint32_t ahead, time_point now) {
+    return expected_time(state, ahead, now) + state.m_smoothed_latency * reserve_percent / 100;
 }
 
 bool at_slots(const admission_state& state) {
     return allowed(state) >= state.m_limits.m_slots;
 }
 
-// Order of service: urgency, deadline, arrival.
+// Order of service: urgency, calls whose answer is still of use, deadline, arrival.
 bool goes_before(const queued_call& left, const queued_call& right) {
-    return std::tie(left.m_urgency, left.m_deadline, left.m_order) <
-           std::tie(right.m_urgency, right.m_deadline, right.m_order);
+    return std::tie(left.m_urgency, left.m_late, left.m_deadline, left.m_order) <
+           std::tie(right.m_urgency, right.m_late, right.m_deadline, right.m_order);
 }
 
 // The smoothed latency starts again, so that warm answers from before don't hide that the server
@@ -250,7 +255,8 @@
     }
     const bool cold = !at_slots(state) || says_cold(state, now);
     const error_kind full = cold ? error_kind::cold_start_limit : error_kind::queue_full;
-    const queued_call waiting{call, level, deadline, state.m_next_order++};
+    const bool late = useful_until != time_point{} && useful_until <= now;
+    const queued_call waiting{call, level, late, deadline, state.m_next_order++};
     const auto place =
         std::upper_bound(state.m_queue.begin(), state.m_queue.end(), waiting, goes_before);
     const bool less_urgent_wait =
@@ -258,16 +264,18 @@
     if (!less_urgent_wait) {
         const auto ahead = place - state.m_queue.begin() + 1;
         const auto place_in_queue = static_cast<std::uint32_t>(ahead);
-        const bool useful =
-            useful_until <= now || now + careful_time(state, place_in_queue) <= useful_until;
-        if (!useful || now + expected_time(state, place_in_queue, now) > deadline) {
+        const time_point latest = useful_until > now ? std::min(useful_until, deadline) : deadline;
+        const time_point answered = now + careful_time(state, place_in_queue, now);
+        if (answered > latest) {
             result.m_reason = full;
+            result.m_room_after = answered - latest;
             return result;
         }
     }
     if (state.m_queue.size() >= state.m_limits.m_queue) {
         if (!less_urgent_wait) {
             result.m_reason = full;
+            result.m_room_after = state.m_smoothed_latency / static_cast<int>(allowed(state));
             return result;
         }
         const auto position = place - state.m_queue.begin();
@@ -348,22 +356,28 @@
            now - state.m_first_answer < state.m_limits.m_cold_hold || now < state.m_warming_until;
 }
 
-server_quality admission_quality(const admission_state& state) {
-    return {admission_load_permille(state),
+server_quality admission_quality(const admission_state& state, time_point now) {
+    return {admission_load_permille(state, now),
             static_cast<std::uint32_t>(1000 * state.m_failure_share), state.m_smoothed_latency};
 }
 
 // A server that just failed its only allowed call reports full load, so that the fast refusals of
 // a dead server don't attract calls. A warm server's limit rises as soon as it is used, so its load
 // is counted over its slots; otherwise quiet servers would look full and send calls elsewhere.
-std::uint32_t admission_load_permille(const admission_state& state) {
+std::uint32_t admission_load_permille(const admission_state& state, time_point now) {
     const std::uint32_t limit = allowed(state);
     if (limit == 1 && (state.m_recent_failures & 1U) != 0) {
         return 1000;
     }
     const auto busy = static_cast<std::uint64_t>(state.m_running) + state.m_queue.size();
     const std::uint32_t bound = state.m_warm ? std::max(limit, state.m_limits.m_slots) : limit;
-    return static_cast<std::uint32_t>(std::min<std::uint64_t>(1000, 1000 * busy / bound));
+    std::uint64_t load = 1000 * busy / bound;
+    if (says_cold(state, now)) {
+        const auto begun = static_cast<double>(state.m_cold_starts.size() + state.m_queue.size());
+        const double share = begun / state.m_limits.m_cold_per_second;
+        load = std::max(load, static_cast<std::uint64_t>(1000 * share));
+    }
+    return static_cast<std::uint32_t>(std::min(max_load_permille, load));
 }
 
 } // namespace caraway
--- a/src/decide/admission.hpp
+++ b/src/decide/admission.hpp
@@ -30,6 +30,7 @@
 struct queued_call {
     std::uint64_t m_id = 0;
     urgency m_urgency = urgency::normal;
+    bool m_late = false; // its answer has lost most of its worth already
     time_point m_deadline;
     std::uint64_t m_order = 0; // arrival
 };
@@ -66,6 +67,7 @@
     // A call that lost its place in the full queue to a more urgent one; 0 if none. It is answered
     // as refused with queue_full.
     std::uint64_t m_displaced = 0;
+    duration m_room_after{}; // refuse: until there may be room for such a call
 };
 
 admission_state make_admission(const admission_limits& limits);
@@ -75,8 +77,9 @@
 
 // A call asks for a slot. Refuses when draining, when its deadline cannot be met given the
 // smoothed latency and the queue before it, or when the queue is full of calls at least as urgent.
-// useful_until, if it lies ahead, is when an answer loses most of its worth: a call that would wait
-// past it is refused, too, since in an overload that lasts, all calls would else be served late.
+// useful_until, if known, is when an answer loses most of its worth: a call that would wait past it
+// is refused, too, since in an overload that lasts, all calls would else be served late. A call for
+// which that time has passed waits behind all others of its urgency.
 admission_result admission_offer(admission_state& state, std::uint64_t call, urgency level,
                                  time_point deadline, time_point now, time_point useful_until = {});
 
@@ -118,10 +121,11 @@
     std::uint32_t m_failure_permille = 0; // share of the last calls that failed
     duration m_latency{};                 // smoothed, without the wait for a slot; 0: not known
 };
-server_quality admission_quality(const admission_state& state);
+server_quality admission_quality(const admission_state& state, time_point now);
 
-// Load in 0..1000 that answers carry back: running and waiting calls over what may run
-// now, or over the slots of a warm server.
-std::uint32_t admission_load_permille(const admission_state& state);
+// Load that answers carry back, 1000 when all slots are busy and more with the queue, at most
+// 10,000: running and waiting calls over what may run now, or over the slots of a warm server; for
+// one that says that it is cold, the calls of the last second over those that it bears, if more.
+std::uint32_t admission_load_permille(const admission_state& state, time_point now);
 
 } // namespace caraway
--- a/src/decide/balance.cpp
+++ b/src/decide/balance.cpp
@@ -71,8 +71,8 @@
 
 // Tiers are tried in this order: own data centre, others; then the same with open breakers.
 bool in_tier(const candidate& value, bool own, bool breaker_open) {
-    return value.m_usable && !value.m_tried && value.m_own_data_centre == own &&
-           value.m_breaker_open == breaker_open;
+    return value.m_usable && !value.m_tried && !value.m_refusing &&
+           value.m_own_data_centre == own && value.m_breaker_open == breaker_open;
 }
 
 // The best of a few different random candidates of a tier.
@@ -119,6 +119,20 @@
     return std::nullopt;
 }
 
+bool is_overloaded(std::span<const candidate> candidates) {
+    bool refusing = false;
+    for (const candidate& value : candidates) {
+        if (!value.m_usable) {
+            continue;
+        }
+        if (!value.m_tried && !value.m_refusing && !value.m_breaker_open) {
+            return false;
+        }
+        refusing = refusing || value.m_refusing;
+    }
+    return refusing;
+}
+
 // A call can pass the place of its unit and that of the next one; the second choice is then made
 // with the next call.
 bool choose_new_version(version_share& share, std::uint32_t weight_permille,
--- a/src/decide/balance.hpp
+++ b/src/decide/balance.hpp
@@ -23,7 +23,8 @@
     duration m_latency{};                 // of its calls, from that answer; 0: not known
     duration m_load_age{};                // since that answer; what is old counts less
     bool m_breaker_open = false;
-    bool m_tried = false; // already refused this call
+    bool m_refusing = false; // has just refused such calls for want of room
+    bool m_tried = false;    // already refused this call
 };
 
 // Chooses among a few random candidates by the time that a call is expected to take there: latency,
@@ -33,6 +34,10 @@
 std::optional<std::size_t> choose_candidate(std::span<const candidate> candidates,
                                             random_source& random);
 
+// True when those that may be asked are left only because they are taken to refuse the call, or
+// have an open breaker: another attempt would cost a server and the caller time for nothing.
+bool is_overloaded(std::span<const candidate> candidates);
+
 // One node's choices between the two versions of a service. Every call covers its weight of a unit
 // of 1000; in each unit the new version is chosen once, at a random place.
 struct version_share {
--- a/src/traffic/admission_gate.cpp
+++ b/src/traffic/admission_gate.cpp
@@ -58,7 +58,8 @@
 }
 
 bool admission_gate::enter(call_control& control, urgency level, time_point useful_until,
-                           bool& cold, boost::asio::yield_context yield, error& reason) {
+                           bool& cold, duration& room_after, boost::asio::yield_context yield,
+                           error& reason) {
     auto waiting = std::make_shared<waiting_call>();
     std::uint64_t call = 0;
     {
@@ -84,6 +85,7 @@
             return true;
         }
         if (offered.m_verdict == admission_verdict::refuse) {
+            room_after = offered.m_room_after;
             fail(reason, offered.m_reason, "the backend server takes no more calls now");
             return false;
         }
@@ -151,7 +153,7 @@
 
 server_quality admission_gate::quality() const {
     const std::lock_guard lock(m_mutex);
-    return admission_quality(m_state);
+    return admission_quality(m_state, m_clock.now());
 }
 
 void admission_gate::drain() {
@@ -188,7 +190,7 @@
 }
 
 void admission_gate::update_load() {
-    m_load.store(admission_load_permille(m_state), std::memory_order_relaxed);
+    m_load.store(admission_load_permille(m_state, m_clock.now()), std::memory_order_relaxed);
 }
 
 void admission_gate::start_ticking() {
--- a/src/traffic/admission_gate.hpp
+++ b/src/traffic/admission_gate.hpp
@@ -24,9 +24,9 @@
 
     // Waits for a slot. False with the reason when the call is refused or ended while waiting;
     // true when it may run, and then leave() must follow. cold tells whether the cold-start limit
-    // was below the slots.
+    // was below the slots, room_after when a refused call might be taken.
     bool enter(call_control& control, urgency level, time_point useful_until, bool& cold,
-               boost::asio::yield_context yield, error& reason);
+               duration& room_after, boost::asio::yield_context yield, error& reason);
     // A call that entered has ended.
     void leave(const call_sample& sample);
 
--- a/src/traffic/backend_side.cpp
+++ b/src/traffic/backend_side.cpp
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "config/mesh.hpp"
+#include "decide/pushback.hpp"
 #include "observe/log.hpp"
 
 namespace caraway {
@@ -20,6 +21,7 @@
     error m_reason;
     bool m_sent = false;
     bool m_replayed = false; // the answer of an earlier attempt with the same key
+    duration m_room_after{}; // a refusal for want of room: until there may be some
 };
 
 // Waits until the own configuration reaches the sender's version, at most the settings' time.
@@ -287,6 +289,10 @@
         reply.m_sent = !result.m_replayed;
     } else {
         reply = refuse(context, result.m_reason, result.m_sent);
+        if (is_overload(result.m_reason.m_kind)) {
+            set_number(reply.m_message, header::room_after_us,
+                       static_cast<std::uint64_t>(to_us(result.m_room_after)));
+        }
     }
     reply.m_version = context.m_snapshot.load()->m_own.m_version;
     set_header(reply.m_message, header::backend_version, reply.m_version);
@@ -304,8 +310,8 @@
                             asio::yield_context yield) {
     server_result result;
     bool cold = false;
-    if (!context.m_gate.enter(control, info.m_urgency, info.m_useful_until, cold, yield,
-                              result.m_reason)) {
+    if (!context.m_gate.enter(control, info.m_urgency, info.m_useful_until, cold,
+                              result.m_room_after, yield, result.m_reason)) {
         return result;
     }
     admission_slot slot(context.m_gate);
@@ -428,6 +434,7 @@
             timeout = route->m_timeout;
         }
     }
+    // 0 says that the answer is late already, which differs from not knowing.
     if (const auto useful = time_left(request, header::useful_ms)) {
         info.m_useful_until = now + *useful;
     }
--- a/src/traffic/entry_side.cpp
+++ b/src/traffic/entry_side.cpp
@@ -5,6 +5,7 @@
 
 #include "config/mesh.hpp"
 #include "decide/balance.hpp"
+#include "decide/pushback.hpp"
 #include "traffic/backend_side.hpp"
 
 namespace caraway {
@@ -20,6 +21,9 @@
 // Tokens of the retry budget kept at most, as a multiple of the first ones.
 constexpr double max_retry_bursts = 10;
 
+// Time that a caller is taken to have left when none of its calls has begun.
+constexpr milliseconds default_time_left{1'000};
+
 // Latency above which a stated one says no more.
 constexpr std::uint64_t max_latency_us = 3'600'000'000;
 
@@ -76,10 +80,41 @@
     store_breaker(counters, breaker);
 }
 
-// Chooses a backend server of the version that was not tried yet; an empty version stands for all
-// but the target of a move. Returns its place in the service.
-std::optional<std::size_t> choose_of_version(const entry_call& call, std::string_view version,
-                                             random_source& random, time_point now) {
+refusal_memory load_refusals(const backend_counters& counters) {
+    refusal_memory memory;
+    for (std::size_t i = 0; i < urgency_levels; ++i) {
+        memory.m_until[i] = from_us(counters.m_refuses_until_us[i].load(std::memory_order_relaxed));
+    }
+    return memory;
+}
+
+void store_refusals(backend_counters& counters, const refusal_memory& memory) {
+    for (std::size_t i = 0; i < urgency_levels; ++i) {
+        counters.m_refuses_until_us[i].store(to_us(memory.m_until[i].time_since_epoch()),
+                                             std::memory_order_relaxed);
+    }
+}
+
+// Remembers whether the backend server had room for the call.
+void update_refusals(backend_counters& counters, const call_info& info, const call_reply& reply,
+                     time_point now) {
+    refusal_memory memory = load_refusals(counters);
+    if (is_overload(reply.m_reason)) {
+        const auto stated = number_header(reply.m_message, header::room_after_us).value_or(0);
+        const auto wait = std::chrono::microseconds(std::min(stated, max_latency_us));
+        note_refusal(memory, info.m_urgency, wait, now);
+    } else if (reply.m_reason == error_kind::none) {
+        note_acceptance(memory, info.m_urgency);
+    } else {
+        return;
+    }
+    store_refusals(counters, memory);
+}
+
+// The backend servers of a version as this node knows them; an empty version stands for all but the
+// target of a move.
+std::vector<candidate> candidates_of(const entry_call& call, std::string_view version,
+                                     time_point now) {
     std::vector<candidate> candidates;
     candidates.reserve(call.m_service->m_backends.size());
     for (std::size_t i = 0; i < call.m_service->m_backends.size(); ++i) {
@@ -99,19 +134,35 @@
             std::chrono::microseconds(counters.m_latency_us.load(std::memory_order_relaxed));
         entry.m_load_age = now - from_us(counters.m_load_at_us.load(std::memory_order_relaxed));
         entry.m_breaker_open = breaker_is_open(load_breaker(counters), now);
+        entry.m_refusing = is_refusing(load_refusals(counters), call.m_info.m_urgency, now);
         entry.m_tried = call.m_tried[i];
         candidates.push_back(entry);
     }
-    return choose_candidate(candidates, random);
+    return candidates;
+}
+
+// How the choice of a backend server ended: its place in the service, or why there is none.
+struct choice {
+    std::optional<std::size_t> m_backend;
+    error_kind m_reason = error_kind::no_backend_server;
+};
+
+// Chooses a backend server of the version that was not tried yet.
+choice choose_of_version(const entry_call& call, std::string_view version, random_source& random,
+                         time_point now) {
+    const std::vector<candidate> candidates = candidates_of(call, version, now);
+    if (is_overloaded(candidates)) {
+        return {std::nullopt, error_kind::queue_full};
+    }
+    return {choose_candidate(candidates, random)};
 }
 
 // Chooses version and backend server. Calls of a new version without a usable backend server go to
 // the old one; the other way round the new version would get more than its share.
-std::optional<std::size_t> choose_backend(entry_call& call, bool new_version, random_source& random,
-                                          time_point now) {
+choice choose_backend(entry_call& call, bool new_version, random_source& random, time_point now) {
     if (new_version) {
-        if (const auto found =
-                choose_of_version(call, call.m_service->m_new_version, random, now)) {
+        const choice found = choose_of_version(call, call.m_service->m_new_version, random, now);
+        if (found.m_backend) {
             return found;
         }
     }
@@ -196,8 +247,8 @@
     set_number(request, header::deadline_ms, allowed);
     set_number(request, header::hop, info.m_hop);
     set_number(request, header::exchange, number);
-    if (const auto useful = ms_left(info.m_useful_until, context.m_clock.now()); useful > 0) {
-        set_number(request, header::useful_ms, useful);
+    if (info.m_useful_until != time_point{}) {
+        set_number(request, header::useful_ms, ms_left(info.m_useful_until, context.m_clock.now()));
     }
     if (info.m_first_sent_ms) {
         set_number(request, header::first_sent, *info.m_first_sent_ms);
@@ -259,6 +310,8 @@
         note_answer(context, call, backend, reply.m_message, context.m_clock.now());
     }
     update_breaker(*backend.m_counters, reply.m_reason, backend.m_own, context.m_clock.now());
+    update_refusals(*backend.m_counters, call.m_info, reply, context.m_clock.now());
+    reply.m_message.erase(std::string(header::room_after_us));
     return reply;
 }
 
@@ -315,20 +368,19 @@
     std::optional<call_reply> last;
     while (true) {
         const time_point now = context.m_clock.now();
-        const auto chosen = choose_backend(call, new_version, control.random(), now);
-        if (!chosen) {
+        const choice chosen = choose_backend(call, new_version, control.random(), now);
+        if (!chosen.m_backend) {
             return last ? std::move(*last)
                         : refuse(context,
-                                 {error_kind::no_backend_server,
-                                  "no instance of the service can take the call"},
+                                 {chosen.m_reason, "no instance of the service can take the call"},
                                  false);
         }
-        const backend_view& backend = call.m_service->m_backends[*chosen];
+        const backend_view& backend = call.m_service->m_backends[*chosen.m_backend];
         circuit_breaker breaker = load_breaker(*backend.m_counters);
         if (breaker.m_failures > 0 && breaker_try(breaker, now)) {
             store_breaker(*backend.m_counters, breaker);
         }
-        call.m_tried[*chosen] = true;
+        call.m_tried[*chosen.m_backend] = true;
         ++call.m_attempts;
         if (call.m_attempts > 1) {
             context.m_metrics.count_retry(call.m_info.m_service);
@@ -356,6 +408,10 @@
     }
 }
 
+std::string route_name(const route_spec& route) {
+    return route.m_host + route.m_path;
+}
+
 // The service that gets the call, by the weights of a split route.
 std::string choose_service(traffic_context& context, const route_spec& route) {
     if (route.m_split.empty()) {
@@ -366,8 +422,35 @@
         weights.push_back(part.m_weight);
     }
     const std::lock_guard lock(context.m_entry_mutex);
-    split_choice& choice = context.m_splits[route.m_host + route.m_path];
-    return route.m_split[choose_part(choice, weights)].m_service;
+    split_choice& split = context.m_splits[route_name(route)];
+    return route.m_split[choose_part(split, weights)].m_service;
+}
+
+// Remembers the deadline that a caller stated; returns how long it has tried before.
+duration note_caller(traffic_context& context, const route_spec& route, milliseconds stated,
+                     time_point now) {
+    const std::lock_guard lock(context.m_entry_mutex);
+    caller_history& history = context.m_callers[route_name(route)];
+    note_deadline(history, stated);
+    return time_before(history, stated, now);
+}
+
+// Tells a refused caller when to come back.
+void advise_caller(traffic_context& context, call_control& control, const entry_call& call,
+                   call_reply& reply) {
+    if (reply.m_message.result() != http::status::service_unavailable) {
+        return;
+    }
+    const time_point now = context.m_clock.now();
+    const duration left =
+        control.deadline() == time_point::max() ? default_time_left : control.deadline() - now;
+    const duration wait =
+        advise_return(reply.m_reason, call.m_info.m_useful_until - now, left, control.random());
+    set_retry_after(reply.m_message, wait);
+    if (call.m_route != nullptr) {
+        const std::lock_guard lock(context.m_entry_mutex);
+        note_refused_caller(context.m_callers[route_name(*call.m_route)], left, now);
+    }
 }
 
 // Finds route, service and deadline, then runs the call.
@@ -414,7 +497,8 @@
     }
     const time_point now = context.m_clock.now();
     if (route->m_target_latency.count() > 0) {
-        call.m_info.m_useful_until = now + route->m_target_latency;
+        call.m_info.m_useful_until =
+            now + route->m_target_latency - note_caller(context, *route, allowed, now);
     }
     control.begin_call(now + allowed);
     strip_hop_by_hop(request);
@@ -431,6 +515,7 @@
                         asio::yield_context yield) {
     const time_point start = context.m_clock.now();
     const wall_time wall_start = context.m_clock.wall_now();
+    context.m_last_caller_request.store(start, std::memory_order_relaxed);
     entry_call call;
     call.m_snapshot = context.m_snapshot.load();
     call.m_info.m_key = header_of(request, header::idempotency_key);
@@ -440,6 +525,7 @@
                                 number_header(request, header::hop).value_or(0), max_hops));
     call.m_info.m_trace = continue_trace(header_of(request, header::traceparent), control.random());
     call_reply reply = run_entry(context, control, call, request, yield);
+    advise_caller(context, control, call, reply);
     record_call_end(context, "entry", call.m_info, call.m_info.m_trace, reply,
                     std::max(call.m_attempts, 1U), start, wall_start);
     return reply;
--- a/src/traffic/http_message.cpp
+++ b/src/traffic/http_message.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include <boost/json.hpp>
+#include <fmt/format.h>
 
 namespace caraway {
 namespace {
@@ -13,9 +14,9 @@
 namespace beast = boost::beast;
 
 constexpr std::uint64_t max_time_left_ms = 3'600'000;
-// When a refused caller may come again, in seconds. Queues turn over several times in a second, and
-// nodes learn of a lost server within one.
-constexpr const char* retry_after_s = "0.3";
+// When a refused caller may come again unless the refusal says otherwise. Queues turn over several
+// times in a second, and nodes learn of a lost server within one.
+constexpr milliseconds default_retry_after{300};
 
 beast::string_view to_beast(std::string_view text) {
     return {text.data(), text.size()};
@@ -111,6 +112,11 @@
     return target.substr(0, target.find('?'));
 }
 
+void set_retry_after(http::fields& fields, duration wait) {
+    const std::string text = fmt::format("{:.3f}", std::chrono::duration<double>(wait).count());
+    fields.set(http::field::retry_after, text);
+}
+
 http_response make_refusal(error_kind kind, std::string_view text) {
     const error_answer& row = answer_for(kind);
     http_response answer = make_json(row.m_status, boost::json::serialize(boost::json::object{
@@ -121,7 +127,7 @@
     set_header(answer, header::outcome, outcome_name(row.m_outcome));
     set_header(answer, header::reason, row.m_name);
     if (answer.result() == http::status::service_unavailable) {
-        answer.set(http::field::retry_after, retry_after_s);
+        set_retry_after(answer, default_retry_after);
     }
     return answer;
 }
--- a/src/traffic/http_message.hpp
+++ b/src/traffic/http_message.hpp
@@ -37,6 +37,8 @@
 // The backend server's smoothed latency in microseconds, and its failures in permille of its calls.
 constexpr std::string_view latency_us = "x-caraway-latency-us";
 constexpr std::string_view failures = "x-caraway-failures";
+// On a refusal for want of room: microseconds until there may be some.
+constexpr std::string_view room_after_us = "x-caraway-room-after-us";
 constexpr std::string_view replayed = "x-caraway-replayed";
 constexpr std::string_view backend_shed = "x-caraway-backend-shed";
 // Number of one exchange between two nodes, repeated in the answer. An answer with another number
@@ -72,6 +74,9 @@
 // Sets a header to a decimal number.
 void set_number(http::fields& fields, std::string_view name, std::uint64_t value);
 
+// Tells a refused caller when to come back, in seconds with three decimals.
+void set_retry_after(http::fields& fields, duration wait);
+
 // Removes all headers of the system but those to keep.
 void strip_internal(http::fields& fields, std::span<const std::string_view> keep);
 
--- a/src/traffic/snapshot.hpp
+++ b/src/traffic/snapshot.hpp
@@ -2,6 +2,7 @@
 // change and swaps the pointer.
 #pragma once
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <map>
@@ -13,6 +14,7 @@
 #include "config/mesh.hpp"
 #include "config/settings.hpp"
 #include "decide/claim.hpp"
+#include "decide/pushback.hpp"
 
 namespace caraway {
 
@@ -25,6 +27,8 @@
     std::atomic<std::int64_t> m_load_at_us{0}; // steady clock, microseconds
     std::atomic<std::uint32_t> m_failures{0};  // consecutive failures to reach it
     std::atomic<std::int64_t> m_open_until_us{0};
+    // Until when it is taken to refuse calls, by urgency; steady clock, microseconds.
+    std::array<std::atomic<std::int64_t>, urgency_levels> m_refuses_until_us{};
 };
 
 // One backend server that calls can be sent to.
--- a/src/traffic/traffic_context.hpp
+++ b/src/traffic/traffic_context.hpp
@@ -10,6 +10,7 @@
 
 #include "decide/balance.hpp"
 #include "decide/move_evidence.hpp"
+#include "decide/pushback.hpp"
 #include "decide/retry.hpp"
 #include "observe/metrics.hpp"
 #include "observe/span.hpp"
@@ -54,14 +55,16 @@
     std::atomic<bool> m_draining{false};
     std::atomic<time_point> m_trusted_until{time_point::max()}; // see trust_snapshot_until
     std::atomic<std::size_t> m_in_progress{0};
+    std::atomic<time_point> m_last_caller_request{time_point{}};
     std::atomic<std::int64_t> m_last_call_end_us{0}; // steady clock; for the health probe
 
     std::mutex m_evidence_mutex;
     std::map<std::string, arm_counts, std::less<>> m_evidence; // by route
 
     std::mutex m_entry_mutex;
-    std::unordered_map<std::string, entry_state> m_entries; // by service
-    std::unordered_map<std::string, split_choice> m_splits; // by host and path of the route
+    std::unordered_map<std::string, entry_state> m_entries;    // by service
+    std::unordered_map<std::string, split_choice> m_splits;    // by host and path of the route
+    std::unordered_map<std::string, caller_history> m_callers; // by host and path of the route
 
     exchange_limits limits() const {
         return {m_settings.m_max_header_bytes, m_settings.m_max_body_bytes};
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -309,4 +309,90 @@
     BOOST_TEST(in_time >= 360); // 4 slots run 400 calls in 10 s
 }
 
+// Guards against callers that come back late and, with the nearer deadline, take the slots before
+// calls that can still be answered in time: in an overload all would then be late.
+BOOST_AUTO_TEST_CASE(late_calls_wait_behind_those_that_can_be_in_time) {
+    admission_limits limits;
+    limits.m_slots = 1;
+    limits.m_infers_cold = false;
+    admission_state state = make_admission(limits);
+    set_admission_limits(state, limits);
+    const time_point now{std::chrono::seconds(10)};
+    const time_point far = now + std::chrono::seconds(5);
+    const auto offer = [&](std::uint64_t call, urgency level, time_point deadline,
+                           time_point useful_until) {
+        return admission_offer(state, call, level, deadline, now, useful_until).m_verdict;
+    };
+    const auto late = now - milliseconds(1);
+    BOOST_TEST((offer(1, urgency::normal, far, {}) == admission_verdict::run));
+    BOOST_TEST(
+        (offer(2, urgency::normal, now + milliseconds(500), late) == admission_verdict::wait));
+    BOOST_TEST(
+        (offer(3, urgency::normal, far, now + milliseconds(600)) == admission_verdict::wait));
+    BOOST_TEST(
+        (offer(4, urgency::background, far, now + milliseconds(600)) == admission_verdict::wait));
+    const auto next = [&] { return admission_finish(state, call_sample{}, now).m_run; };
+    BOOST_TEST((next() == std::vector<std::uint64_t>{3}));
+    BOOST_TEST((next() == std::vector<std::uint64_t>{2}));
+    BOOST_TEST((next() == std::vector<std::uint64_t>{4}));
+}
+
+// Guards against callers' nodes that can't tell a full server from one with a long queue, or that
+// take a cold server, which runs few calls at a time, for an idle one.
+BOOST_AUTO_TEST_CASE(the_load_told_shows_the_queue_and_the_cold_start) {
+    admission_limits limits;
+    limits.m_slots = 4;
+    limits.m_infers_cold = false;
+    admission_state state = make_admission(limits);
+    set_admission_limits(state, limits);
+    const time_point now{std::chrono::seconds(10)};
+    for (std::uint64_t call = 1; call <= 12; ++call) {
+        admission_offer(state, call, urgency::normal, now + std::chrono::seconds(5), now);
+    }
+    BOOST_TEST(admission_load_permille(state, now) == 3'000U);
+
+    limits.m_cold_until = now + std::chrono::seconds(3);
+    limits.m_cold_per_second = 10;
+    admission_state cold = make_admission(limits);
+    set_admission_limits(cold, limits);
+    for (std::uint64_t call = 1; call <= 9; ++call) {
+        admission_offer(cold, call, urgency::normal, now + std::chrono::seconds(5), now);
+        if (!cold.m_queue.empty()) {
+            break;
+        }
+        admission_finish(cold, call_sample{}, now);
+    }
+    BOOST_TEST(cold.m_running == 0U);
+    BOOST_TEST(admission_load_permille(cold, now) == 900U);
+    BOOST_TEST(admission_load_permille(cold, now + std::chrono::seconds(4)) == 0U);
+}
+
+// Guards against a refusal that doesn't tell when there may be room: callers' nodes would ask again
+// at once.
+BOOST_AUTO_TEST_CASE(a_refusal_tells_when_there_may_be_room) {
+    admission_limits limits;
+    limits.m_slots = 2;
+    limits.m_infers_cold = false;
+    admission_state state = make_admission(limits);
+    set_admission_limits(state, limits);
+    time_point now{std::chrono::seconds(10)};
+    std::uint64_t call = 0;
+    const auto offer = [&] {
+        return admission_offer(state, ++call, urgency::normal, now + std::chrono::seconds(5), now,
+                               now + milliseconds(300));
+    };
+    for (int i = 0; i < 20; ++i) {
+        offer();
+        call_sample sample;
+        sample.m_latency = milliseconds(100);
+        admission_finish(state, sample, now);
+    }
+    admission_result result = offer();
+    while (result.m_verdict != admission_verdict::refuse) {
+        result = offer();
+    }
+    BOOST_TEST((result.m_reason == error_kind::queue_full));
+    BOOST_TEST((result.m_room_after > duration{} && result.m_room_after <= milliseconds(100)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
