Look for members unknown here after joining; read the entry points once a start

Change: entry points are kept for 2 s between attempts, the own one is written as soon as a list shows that it is missing, a node watches only after it has joined or been alone for 1.5 s. A node that has joined goes on asking entry points of members unknown to it for 6 s, and watchers look in the store for such members 2 s after their start and then every 30 s. A call that finds the new version overloaded and no old one is refused as overload.

--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -156,8 +156,11 @@
 // Progress of joining the mesh after start.
 struct join_state {
     bool m_store_busy = false;
-    bool m_nobody_found = false;     // the store named no member to ask, and none was known
-    std::set<std::string> m_pending; // formatted addresses asked and not answered
+    bool m_nobody_found = false;             // the store named no member to ask, and none was known
+    std::vector<ip_endpoint> m_entry_points; // that the store named last
+    time_point m_listed_at;                  // when it did
+    time_point m_next_discovery;             // when a watcher looks for members unknown here
+    std::set<std::string> m_pending;         // formatted addresses asked and not answered
     time_point m_first_attempt;
     time_point m_next_attempt;
     std::uint32_t m_failures = 0;
--- a/src/node/join.cpp
+++ b/src/node/join.cpp
@@ -13,10 +13,20 @@
 constexpr std::size_t join_targets = 3;
 // First pause after a failed attempt to join; doubled up to the setting.
 constexpr milliseconds first_join_backoff{200};
+// Entry points that the store named are asked for this long before it is read again: when all nodes
+// start together, most of them are up soon, and a list each attempt cost the store 3 reads a node.
+constexpr milliseconds entry_points_lifetime{2'000};
+// When a whole deployment starts for the first time, the others' entries are there after this time.
+constexpr milliseconds first_entries_time{500};
 // A node asks members for their tables at this interval until this long after its start: when many
 // start together, those that answer first know only a few of the others.
 constexpr milliseconds complete_interval{1'000};
 constexpr milliseconds complete_time{6'000};
+// Members that watch the store look there for entry points of members unknown here, first this long
+// after their start and then at the interval. Nodes that start together and join only each other
+// would else stay apart from the rest for good.
+constexpr milliseconds first_discovery{2'000};
+constexpr milliseconds discovery_interval{30'000};
 // Only in small meshes: a reply holds the whole table, some 90 bytes a member.
 constexpr std::size_t complete_members = 500;
 
@@ -80,32 +90,100 @@
     return !known.empty();
 }
 
+// Takes over the entry points of the others that the store named.
+void take_entry_points(control& state, std::span<const store_entry> entries) {
+    join_state& join = state.m_join;
+    const ip_endpoint& own = state.m_settings.m_announce_bulk;
+    join.m_listed_at = state.now();
+    join.m_entry_points.clear();
+    for (const store_entry& entry : entries) {
+        state.m_operator.m_entry_written |= entry.m_value == format_endpoint(own);
+        const auto address = parse_endpoint(entry.m_value);
+        if (address && *address != own) {
+            join.m_entry_points.push_back(*address);
+        }
+    }
+}
+
+// Asks some of the known members and entry points.
+void ask_entry_points(control& state) {
+    std::vector<ip_endpoint> targets = known_targets(state);
+    const auto& named = state.m_join.m_entry_points;
+    targets.insert(targets.end(), named.begin(), named.end());
+    std::shuffle(targets.begin(), targets.end(), state.m_random);
+    targets.resize(std::min(targets.size(), join_targets));
+    for (const ip_endpoint& target : targets) {
+        join_through(state, target);
+    }
+}
+
+// Asks some of the entry points that are no known members' addresses. They may belong to nodes that
+// joined each other but nobody known here, or be gone.
+void ask_unknown_entry_points(control& state) {
+    std::set<std::string> known;
+    for (const member* each : live_members(state.m_members)) {
+        known.insert(format_endpoint(each->m_bulk));
+    }
+    std::vector<ip_endpoint> targets;
+    for (const ip_endpoint& named : state.m_join.m_entry_points) {
+        if (!known.contains(format_endpoint(named))) {
+            targets.push_back(named);
+        }
+    }
+    std::shuffle(targets.begin(), targets.end(), state.m_random);
+    targets.resize(std::min(targets.size(), join_targets));
+    for (const ip_endpoint& target : targets) {
+        join_through(state, target);
+    }
+}
+
+// Looks in the store for members that this node doesn't know.
+void discover_members(control& state, time_point now) {
+    join_state& join = state.m_join;
+    if (join.m_next_discovery == time_point{}) {
+        join.m_next_discovery = join.m_first_attempt + first_discovery;
+    }
+    if (!state.m_operator.m_candidate || join.m_store_busy || now < join.m_next_discovery) {
+        return;
+    }
+    join.m_next_discovery = now + discovery_interval;
+    join.m_store_busy = true;
+    state.m_store->list(entry_prefix, [&state](const store_reply& reply) {
+        state.m_join.m_store_busy = false;
+        if (reply.m_kind == error_kind::none) {
+            take_entry_points(state, reply.m_entries);
+            ask_unknown_entry_points(state);
+        }
+    });
+}
+
 // Asks some of the known members and the entry points, as soon as the store has named these. With a
 // pause in between, as after a failed attempt, a restarted node missed 18 s while most members were
 // cut off. Without the store the known members alone are asked; where no lease keeps the entry
 // points current, known members come first, which spares the store a call.
 void ask_members(control& state) {
+    join_state& join = state.m_join;
     if (state.reads_operator_items() && ask_known_members(state)) {
         return;
     }
-    state.m_join.m_store_busy = true;
+    if (!join.m_entry_points.empty() && state.now() - join.m_listed_at < entry_points_lifetime) {
+        ask_entry_points(state);
+        return;
+    }
+    join.m_store_busy = true;
     state.m_store->list(entry_prefix, [&state](const store_reply& reply) {
-        state.m_join.m_store_busy = false;
-        std::vector<ip_endpoint> targets = known_targets(state);
-        for (const store_entry& entry : reply.m_entries) {
-            state.m_operator.m_entry_written |=
-                entry.m_value == format_endpoint(state.m_settings.m_announce_bulk);
-            const auto address = parse_endpoint(entry.m_value);
-            if (address && *address != state.m_settings.m_announce_bulk) {
-                targets.push_back(*address);
-            }
-        }
-        state.m_join.m_nobody_found = targets.empty() && reply.m_kind == error_kind::none;
-        std::shuffle(targets.begin(), targets.end(), state.m_random);
-        targets.resize(std::min(targets.size(), join_targets));
-        for (const ip_endpoint& target : targets) {
-            join_through(state, target);
+        join_state& listed = state.m_join;
+        listed.m_store_busy = false;
+        if (reply.m_kind == error_kind::none) {
+            take_entry_points(state, reply.m_entries);
         }
+        listed.m_nobody_found = listed.m_entry_points.empty() && reply.m_kind == error_kind::none &&
+                                known_targets(state).empty();
+        if (listed.m_nobody_found && state.reads_operator_items()) {
+            listed.m_next_attempt =
+                std::max(listed.m_next_attempt, state.now() + first_entries_time);
+        }
+        ask_entry_points(state);
     });
 }
 
@@ -201,10 +279,14 @@
         return;
     }
     if (joined) {
+        if (state.reads_operator_items()) {
+            discover_members(state, now);
+        }
         if (now - join.m_first_attempt < complete_time && state.reads_operator_items() &&
             state.m_members.m_live < complete_members) {
             join.m_next_attempt = now + complete_interval;
             ask_known_members(state, true);
+            ask_unknown_entry_points(state);
         }
         return;
     }
--- a/src/node/operator_watch.cpp
+++ b/src/node/operator_watch.cpp
@@ -193,6 +193,9 @@
 // A node that gets a text from no member for this long reads it from the store.
 constexpr milliseconds behind_time{400};
 
+// A node that finds no member in this time after its start watches the store itself.
+constexpr milliseconds alone_time{1'500};
+
 // Works out whether this node watches: it is among the first of its data centre, or among the first
 // of those that reach the store.
 void refresh_watcher(control& state, time_point now) {
@@ -205,9 +208,12 @@
     const std::string role = "watcher/" + self.m_data_centre;
     const auto beside = [&self](const member& m) { return m.m_data_centre == self.m_data_centre; };
     const auto reaching = [&beside](const member& m) { return beside(m) && !m.m_store_lost; };
+    // A node that knows nobody yet would take itself for the first of its data centre.
+    const bool settled = state.m_join.m_done || now >= watch.m_begin_at + alone_time;
     const bool candidate =
-        is_candidate(state, role, watchers_per_data_centre, beside) ||
-        (!self.m_store_lost && is_candidate(state, role, watchers_per_data_centre, reaching));
+        settled &&
+        (is_candidate(state, role, watchers_per_data_centre, beside) ||
+         (!self.m_store_lost && is_candidate(state, role, watchers_per_data_centre, reaching)));
     if (candidate != watch.m_candidate) {
         watch.m_candidate = candidate;
         log_event(log_level::info, candidate ? "store_watch_begun" : "store_watch_ended", {});
@@ -265,10 +271,17 @@
 
 void tick_operator_watch(control& state, time_point now) {
     operator_watch& watch = state.m_operator;
-    refresh_watcher(state, now);
     if (watch.m_begin_at == time_point{}) {
         watch.m_begin_at = now + milliseconds(state.m_random.below(start_spread.count()));
     }
+    refresh_watcher(state, now);
+    // The list that is read to join shows whether an entry of an earlier start is still there. It
+    // is written before anything else, so that others that start together find this node.
+    const bool entry_known = watch.m_candidate || state.m_join.m_listed_at != time_point{};
+    if (entry_known && !watch.m_entry_written && !watch.m_entry_busy &&
+        now >= watch.m_entry_retry_at) {
+        write_entry(state);
+    }
     if (now < watch.m_begin_at) {
         return;
     }
@@ -281,9 +294,6 @@
     } else if (!watch.m_candidate && !starting) {
         return;
     }
-    if (!watch.m_entry_written && !watch.m_entry_busy && now >= watch.m_entry_retry_at) {
-        write_entry(state);
-    }
     if (!watch.m_records_read && watch.m_candidate && !watch.m_records_busy &&
         now >= watch.m_records_retry_at) {
         read_records(state);
--- a/src/traffic/entry_side.cpp
+++ b/src/traffic/entry_side.cpp
@@ -165,6 +165,8 @@
         if (found.m_backend) {
             return found;
         }
+        const choice old = choose_of_version(call, call.m_service->m_old_version, random, now);
+        return old.m_backend ? old : found;
     }
     return choose_of_version(call, call.m_service->m_old_version, random, now);
 }
--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -50,6 +50,7 @@
     def __init__(self):
         self.items, self.events, self.leases = {}, [], {}
         self.revision, self.calls, self.down = 1, 0, False
+        self.hidden = ()  # parts of keys that lists leave out
         self.changed = threading.Condition()
         store = self
 
@@ -118,7 +119,8 @@
             prefix = query["path_prefix"]
             if url.path == "/api/kv-range":
                 rows = [self.items[k] for k in sorted(self.items)
-                        if k.startswith(prefix) and k > query.get("after", "")]
+                        if k.startswith(prefix) and k > query.get("after", "")
+                        and not any(part in k for part in self.hidden)]
                 # Two rows a page, so that every list has to read several.
                 return call.reply(200, {"items": rows[:2], "has_more": len(rows) > 2,
                                         "current_rev": self.revision})
--- a/tests/integration/platform_test.py
+++ b/tests/integration/platform_test.py
@@ -9,6 +9,7 @@
 
 READY_S = 10
 APPLY_S = 2        # an accepted configuration is in force
+JOINED_S = 1.2     # nodes that start together have joined; they look for others after 2 s
 EVACUATE_S = 3     # a data centre that was taken out gets nothing
 
 SETTINGS = """
@@ -95,14 +96,25 @@
 class Platform:
     """A store and four instances in two data centres."""
 
+    def __init__(self, apart=False):
+        self.apart = apart  # the services' instances join only each other at first
+
     def __enter__(self):
         self.harness = Harness()
         self.harness.__enter__()
         self.store = PlatformStore()
         self.store.put("op/config", config(5, FIRST))
-        self.instances = [Instance(self.harness, self.store, f"{service}-{place}", service, place)
-                          for service in ("orders", "stock") for place in ("north", "south")]
+        self.instances = []
+        for service in ("orders", "stock"):
+            self.instances += [Instance(self.harness, self.store, f"{service}-{place}", service,
+                                        place) for place in ("north", "south")]
+            if self.apart:
+                wait_until(lambda: all(i.ready() for i in self.instances), READY_S, "ready")
+                self.store.hidden = ("/orders-",)  # their entry points
         wait_until(lambda: all(i.ready() for i in self.instances), READY_S, "ready")
+        if self.apart:
+            time.sleep(JOINED_S)
+        self.store.hidden = ()
         for path in ("/orders/x", "/stock/x"):
             wait_until(lambda: all(i.call(path)[0] == 200 for i in self.instances), READY_S, path)
         return self
@@ -188,5 +200,15 @@
                    "in force after the store's return")
 
 
+def test_groups_that_started_apart():
+    """Guards against nodes that started together, joined only each other and stay apart from the
+    rest for good: after a loss of power in 3 of 8 runs of a day a fifth of its calls was refused."""
+    with Platform(apart=True) as platform:
+        for each in platform.instances:
+            wait_until(lambda: all(each.call(path)[0] == 200 for path in ("/orders/x", "/stock/x")),
+                       READY_S, each.name)
+
+
 if __name__ == "__main__":
-    run_tests([test_calm_day, test_drain_and_evacuation, test_store_away])
+    run_tests([test_calm_day, test_drain_and_evacuation, test_store_away,
+               test_groups_that_started_apart])
