Pack a text once for all that fetch it; add the fault soak

Cause: a grown deployment's text with 2,200 routes costs a holder 1.3 ms for each member that fetches it, most of it for a window and long-distance matching made for 1 MiB texts, and the first holders of a change serve most members; on a tenth of a core that delays a change by hundreds of milliseconds.

--- a/Makefile
+++ b/Makefile
@@ -54,7 +54,7 @@
 	cd src/peer/gen && protoc --cpp_out=. peer.proto
 
 .DEFAULT_GOAL := all
-.PHONY: all proto packages test unit fuzz libfuzzer integration signature demo bench check format tidy \
+.PHONY: all proto packages test unit fuzz libfuzzer integration soak signature demo bench check format tidy \
         clean
 .SECONDARY:
 
@@ -126,6 +126,13 @@
 	@mkdir -p $(BUILD)/bin
 	tools/run_integration $(BUILD)/bin
 
+# Runs the fault soak: seeds 1 to 3, those of SEED (N, N,N or N..N), or FRESH new ones.
+SEED    ?= 1..3
+SECONDS ?= 12
+FRESH   ?= 0
+soak: all
+	python3 tests/soak/soak.py $(BUILD)/bin --seeds $(SEED) --fresh $(FRESH) --seconds $(SECONDS)
+
 # Replays the recorded traces; a change that means to alter no decision keeps the signature.
 signature: $(BUILD)/bin/replay
 	$(BUILD)/bin/replay tests/traces
--- a/src/node/config_sync.cpp
+++ b/src/node/config_sync.cpp
@@ -155,7 +155,7 @@
     perform(state, decide_heard(state, instance, version));
 }
 
-std::optional<packed_text> pack_for(const control& state, std::uint64_t have_version,
+std::optional<packed_text> pack_for(control& state, std::uint64_t have_version,
                                     std::uint64_t want_version) {
     const auto& texts = state.m_distribution.m_texts;
     if (texts.empty()) {
@@ -165,10 +165,22 @@
     if (latest.m_version <= have_version || latest.m_version < want_version) {
         return std::nullopt;
     }
+    if (state.m_packed_version != latest.m_version) {
+        state.m_packed_version = latest.m_version;
+        state.m_packed.clear();
+    }
     const auto base = texts.find(have_version);
-    return pack_text(latest.m_version, latest.m_hash, *latest.m_text, have_version,
-                     base == texts.end() ? std::string_view{}
-                                         : std::string_view(*base->second.m_text));
+    const std::uint64_t base_version = base == texts.end() ? 0 : have_version;
+    auto packed = state.m_packed.find(base_version);
+    if (packed == state.m_packed.end()) {
+        const std::string_view base_text =
+            base == texts.end() ? std::string_view{} : std::string_view(*base->second.m_text);
+        packed = state.m_packed
+                     .emplace(base_version, pack_text(latest.m_version, latest.m_hash,
+                                                      *latest.m_text, base_version, base_text))
+                     .first;
+    }
+    return packed->second;
 }
 
 void receive_text(control& state, std::string_view instance, const packed_text& packed) {
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -190,6 +190,10 @@
     fact_table m_facts;
     std::shared_ptr<const mesh> m_mesh;                            // in force here
     std::map<std::uint64_t, std::shared_ptr<const mesh>> m_parsed; // held, not yet in force
+    // The latest text as packed for others, by the version that they hold; 0: whole. Most members
+    // fetch a new text from the few that had it first, and hold the same version.
+    std::map<std::uint64_t, packed_text> m_packed;
+    std::uint64_t m_packed_version = 0;
     counter_map m_counters;
     snapshot_cell m_snapshot;
     bool m_snapshot_dirty = true;
@@ -272,7 +276,7 @@
 // Heard that an instance holds a version.
 void hear_version(control& state, std::string_view instance, std::uint64_t version);
 // The texts to answer a fetch with.
-std::optional<packed_text> pack_for(const control& state, std::uint64_t have_version,
+std::optional<packed_text> pack_for(control& state, std::uint64_t have_version,
                                     std::uint64_t want_version);
 // Takes a text received from a peer.
 void receive_text(control& state, std::string_view instance, const packed_text& packed);
--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/address.hpp>
 
 #include <algorithm>
+#include <bit>
 
 #include <google/protobuf/io/coded_stream.h>
 #include <google/protobuf/stubs/logging.h>
@@ -23,6 +24,7 @@
 constexpr int compression_level = 3;
 // Window large enough that the whole base text (up to 1 MiB) can be referred to.
 constexpr int delta_window_log = 21;
+constexpr int least_window_log = 10; // of zstd
 
 // Most repeated entries of one bulk message: a whole member table with all facts. An empty member
 // takes 2 bytes on the wire and some 500 in memory, so the message's size limit alone would let one
@@ -524,8 +526,10 @@
                                                                        &ZSTD_freeCCtx);
     ZSTD_CCtx_setParameter(context.get(), ZSTD_c_compressionLevel, compression_level);
     if (!base.empty()) {
-        ZSTD_CCtx_setParameter(context.get(), ZSTD_c_windowLog, delta_window_log);
-        ZSTD_CCtx_setParameter(context.get(), ZSTD_c_enableLongDistanceMatching, 1);
+        const auto window_log = std::bit_width(base.size() + text.size());
+        ZSTD_CCtx_setParameter(
+            context.get(), ZSTD_c_windowLog,
+            std::clamp<int>(static_cast<int>(window_log), least_window_log, delta_window_log));
         ZSTD_CCtx_refPrefix(context.get(), base.data(), base.size());
     }
     const std::size_t written = ZSTD_compress2(context.get(), out.m_compressed.data(),
