Let a restarted small mesh read its configuration from the store at once

Change: a starting node begins within 6 ms for each entry point that the store named, instead of 600 ms, and reads the store itself 10 ms for each of them later, instead of 700 ms; the first pause between attempts to join is 100 ms.

--- a/src/node/join.cpp
+++ b/src/node/join.cpp
@@ -12,7 +12,7 @@
 // down.
 constexpr std::size_t join_targets = 3;
 // First pause after a failed attempt to join; doubled up to the setting.
-constexpr milliseconds first_join_backoff{200};
+constexpr milliseconds first_join_backoff{100};
 // Entry points that the store named are asked for this long before it is read again: when all nodes
 // start together, most of them are up soon, and a list each attempt cost the store 3 reads a node.
 constexpr milliseconds entry_points_lifetime{2'000};
@@ -90,12 +90,21 @@
     return !known.empty();
 }
 
+// Nodes that start together begin to read the store within this time for each entry point: the
+// first ones soon, and not so many of them that those of a large fleet don't wait for what these
+// have read.
+constexpr milliseconds start_spread_per_entry{6};
+
 // Takes over the entry points of the others that the store named.
 void take_entry_points(control& state, std::span<const store_entry> entries) {
     join_state& join = state.m_join;
     const ip_endpoint& own = state.m_settings.m_announce_bulk;
     join.m_listed_at = state.now();
     join.m_entry_points.clear();
+    const auto spread = static_cast<std::uint64_t>(start_spread_per_entry.count()) * entries.size();
+    operator_watch& watch = state.m_operator;
+    watch.m_begin_at =
+        std::min(watch.m_begin_at, state.now() + milliseconds(state.m_random.below(spread + 1)));
     for (const store_entry& entry : entries) {
         state.m_operator.m_entry_written |= entry.m_value == format_endpoint(own);
         const auto address = parse_endpoint(entry.m_value);
--- a/src/node/operator_watch.cpp
+++ b/src/node/operator_watch.cpp
@@ -187,8 +187,17 @@
 // know, before it takes part itself: a fleet that starts together would else call all at once.
 constexpr milliseconds start_spread{600};
 
-// A starting node that doesn't watch asks the store for the configuration after this time.
+// A starting node that doesn't watch asks the store for the configuration after this time, sooner
+// where there are few others to read it: in a small mesh a read each costs the store little.
 constexpr milliseconds members_first_time{700};
+constexpr milliseconds members_first_time_per_entry{10};
+
+milliseconds members_first(const control& state) {
+    const auto others = static_cast<std::int64_t>(state.m_join.m_entry_points.size());
+    const bool listed = state.m_join.m_listed_at != time_point{};
+    return listed ? std::min(members_first_time, others * members_first_time_per_entry)
+                  : members_first_time;
+}
 
 // A node that gets a text from no member for this long reads it from the store.
 constexpr milliseconds behind_time{400};
@@ -287,7 +296,7 @@
     }
     // A node that got no configuration from members reads it from the store, whoever watches.
     const bool starting =
-        !state.m_distribution.m_ready && now >= watch.m_begin_at + members_first_time;
+        !state.m_distribution.m_ready && now >= watch.m_begin_at + members_first(state);
     if (!watch.m_candidate && is_behind(state, now)) {
         watch.m_behind_since = now; // the next list, if this one brings nothing new
         watch.m_listed = false;
