--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -264,6 +264,9 @@
 // Answers another node's request to join.
 join_reply serve_join(control& state, const join_request& request);
 
+// Compares member tables with a random member and merges what differs, both ways.
+void compare_tables(control& state);
+
 // resync.cpp: the way back after a pause.
 
 // Notices a pause of this process, and keeps traffic refused until a member told what changed
--- a/src/node/gossip.cpp
+++ b/src/node/gossip.cpp
@@ -78,7 +78,8 @@
                {"ready", changed.m_ready}});
 }
 
-// Compares member tables with a random member and merges what differs, both ways.
+} // namespace
+
 void compare_tables(control& state) {
     const std::vector<const member*> live = live_members(state.m_members);
     if (live.empty()) {
@@ -98,8 +99,6 @@
     });
 }
 
-} // namespace
-
 void perform(control& state, std::span<const membership_action> actions) {
     for (const membership_action& action : actions) {
         switch (action.m_kind) {
--- a/src/node/join.cpp
+++ b/src/node/join.cpp
@@ -18,17 +18,15 @@
 constexpr milliseconds entry_points_lifetime{2'000};
 // When a whole deployment starts for the first time, the others' entries are there after this time.
 constexpr milliseconds first_entries_time{500};
-// A node asks members for their tables at this interval until this long after its start: when many
-// start together, those that answer first know only a few of the others.
-constexpr milliseconds complete_interval{1'000};
+// A node compares its member table with others' at this interval until this long after its start:
+// when many start together, those that answer first know only a few of the others.
+constexpr milliseconds complete_interval{500};
 constexpr milliseconds complete_time{6'000};
 // Members that watch the store look there for entry points of members unknown here, first this long
 // after their start and then at the interval. Nodes that start together and join only each other
 // would else stay apart from the rest for good.
 constexpr milliseconds first_discovery{2'000};
 constexpr milliseconds discovery_interval{30'000};
-// Only in small meshes: a reply holds the whole table, some 90 bytes a member.
-constexpr std::size_t complete_members = 500;
 
 // Admits at most the configured number of joins in a second, so that a restarting data centre
 // can't take the control thread away from the members that are up.
@@ -55,15 +53,14 @@
 // Whom to ask besides the entry points: members learnt from earlier answers that have not answered
 // a join yet, else the seeds. A node that asked only its seeds could not establish its floor while
 // the store is down and most of the seeds are unreachable, although enough other members are alive.
-std::vector<ip_endpoint> known_targets(const control& state, bool again = false) {
+std::vector<ip_endpoint> known_targets(const control& state) {
     std::vector<ip_endpoint> targets;
     for (const auto& [name, tracked] : state.m_members.m_members) {
         const member& known = tracked.m_member;
         const bool live =
             known.m_state == member_state::alive || known.m_state == member_state::suspect;
         const bool answered = state.m_distribution.m_joined.contains(name);
-        if (live && (again || !answered) &&
-            !state.m_join.m_pending.contains(format_endpoint(known.m_bulk))) {
+        if (live && !answered && !state.m_join.m_pending.contains(format_endpoint(known.m_bulk))) {
             targets.push_back(known.m_bulk);
         }
     }
@@ -78,10 +75,10 @@
     return targets;
 }
 
-// Asks some of the members learnt so far, also those that have answered before if again is set.
+// Asks some of the members learnt so far.
 // False if there are none left to ask.
-bool ask_known_members(control& state, bool again = false) {
-    std::vector<ip_endpoint> known = known_targets(state, again);
+bool ask_known_members(control& state) {
+    std::vector<ip_endpoint> known = known_targets(state);
     std::shuffle(known.begin(), known.end(), state.m_random);
     known.resize(std::min(known.size(), join_targets));
     for (const ip_endpoint& target : known) {
@@ -291,10 +288,9 @@
         if (state.reads_operator_items()) {
             discover_members(state, now);
         }
-        if (now - join.m_first_attempt < complete_time && state.reads_operator_items() &&
-            state.m_members.m_live < complete_members) {
+        if (now - join.m_first_attempt < complete_time && state.reads_operator_items()) {
             join.m_next_attempt = now + complete_interval;
-            ask_known_members(state, true);
+            compare_tables(state);
             ask_unknown_entry_points(state);
         }
         return;
