End a leaving node with its last call; tell its callers to return later

Change: a leaving node takes callers for 2.9 s as before and ends when its calls have ended; callers that it refuses meanwhile are told to come back after 0.5 s or a third of their time.

--- a/src/decide/pushback.cpp
+++ b/src/decide/pushback.cpp
@@ -19,8 +19,11 @@
 // Callers that will be late anyway come back in this part of the time that they have left.
 constexpr double late_least_share = 0.2;
 constexpr double late_most_share = 0.33;
-// A leaving node or one that has just started: others take the call at once.
+// A version or data centre that takes no calls any more: the next attempt goes elsewhere.
 constexpr milliseconds elsewhere_wait{20};
+// Callers of a leaving node come back when it has been replaced or they have found another one;
+// ones told to return at once used up their attempts within 40 ms.
+constexpr milliseconds replacement_wait{500};
 // A node without a configuration gets one within some hundred milliseconds.
 constexpr milliseconds start_wait{250};
 
@@ -69,8 +72,11 @@
 
 duration advise_return(error_kind reason, duration useful_left, duration left,
                        random_source& random) {
-    if (reason == error_kind::draining || reason == error_kind::version_suspended ||
-        reason == error_kind::version_not_served || reason == error_kind::data_centre_out) {
+    if (reason == error_kind::draining) {
+        return std::max<duration>(soon_least, std::min<duration>(replacement_wait, left / 3));
+    }
+    if (reason == error_kind::version_suspended || reason == error_kind::version_not_served ||
+        reason == error_kind::data_centre_out) {
         return elsewhere_wait;
     }
     if (reason == error_kind::node_not_ready) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -22,9 +22,6 @@
 // new work, so that its leave spreads and calls that were sent before it was heard are answered.
 constexpr milliseconds least_drain{1'000};
 constexpr milliseconds refusing_time{300};
-// A leaving node goes on answering callers until none has called for this long: callers that have
-// not yet heard of the leave would else find nobody.
-constexpr milliseconds quiet_time{1'000};
 // A second reader goes on watching while the lease of a dead one runs out.
 constexpr int readers_per_data_centre = 2;
 constexpr milliseconds gauge_interval{1'000};
@@ -274,8 +271,7 @@
             refresh_snapshot(m_state);
         }
         const std::size_t left = m_state.m_traffic->calls_in_progress();
-        const bool quiet = now - m_state.m_traffic->last_caller_request() >= quiet_time;
-        const bool drained = left == 0 && quiet && now >= m_stop_least;
+        const bool drained = left == 0 && now >= m_stop_least;
         if (!drained && now < *m_stop_at) {
             release_leases(m_state);
             return false;
--- a/src/traffic/entry_side.cpp
+++ b/src/traffic/entry_side.cpp
@@ -511,7 +511,6 @@
                         asio::yield_context yield) {
     const time_point start = context.m_clock.now();
     const wall_time wall_start = context.m_clock.wall_now();
-    context.m_last_caller_request.store(start, std::memory_order_relaxed);
     entry_call call;
     call.m_snapshot = context.m_snapshot.load();
     call.m_info.m_key = header_of(request, header::idempotency_key);
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -503,10 +503,6 @@
     return m_impl->context().m_in_progress.load(std::memory_order_relaxed);
 }
 
-time_point traffic_server::last_caller_request() const {
-    return m_impl->context().m_last_caller_request.load(std::memory_order_relaxed);
-}
-
 std::uint32_t traffic_server::load_permille() const {
     return m_impl->context().m_gate.load_permille();
 }
--- a/src/traffic/traffic.hpp
+++ b/src/traffic/traffic.hpp
@@ -55,9 +55,6 @@
     // Calls and answers still under way.
     std::size_t calls_in_progress() const;
 
-    // When the last caller's request arrived.
-    time_point last_caller_request() const;
-
     // Load of the own backend server in permille of its limits.
     std::uint32_t load_permille() const;
 
--- a/src/traffic/traffic_context.hpp
+++ b/src/traffic/traffic_context.hpp
@@ -55,7 +55,6 @@
     std::atomic<bool> m_draining{false};
     std::atomic<time_point> m_trusted_until{time_point::max()}; // see trust_snapshot_until
     std::atomic<std::size_t> m_in_progress{0};
-    std::atomic<time_point> m_last_caller_request{time_point{}};
     std::atomic<std::int64_t> m_last_call_end_us{0}; // steady clock; for the health probe
 
     std::mutex m_evidence_mutex;
--- a/tests/pushback_test.cpp
+++ b/tests/pushback_test.cpp
@@ -93,8 +93,13 @@
             advise_return(error_kind::queue_full, milliseconds(50), milliseconds(3'000), random);
         BOOST_TEST((late >= milliseconds(600) && late <= milliseconds(1'000)));
     }
-    BOOST_TEST((advise_return(error_kind::draining, duration{}, milliseconds(3'000), random) <
-                milliseconds(100)));
+    BOOST_TEST((advise_return(error_kind::version_suspended, duration{}, milliseconds(3'000),
+                              random) < milliseconds(100)));
+    // A caller of a leaving node must not use up its attempts before the node is replaced.
+    BOOST_TEST((advise_return(error_kind::draining, milliseconds(600), milliseconds(3'000),
+                              random) == milliseconds(500)));
+    BOOST_TEST((advise_return(error_kind::draining, milliseconds(200), milliseconds(450), random) ==
+                milliseconds(150)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
