Take no route that always failed for a defect of the new version

Calls of that route had failed with the old version, too (5 of 5), but at full weight there is no old traffic, and 5% of failures were assumed to be good. Change: the share that failed with the old version since the move began counts as good there, and a route on which it failed more than 85% of the calls gives no evidence. A node that restarted during the move can still suspend a good version so (open).

--- a/src/decide/move_evidence.cpp
+++ b/src/decide/move_evidence.cpp
@@ -49,6 +49,9 @@
 constexpr double assumed_good_failure_share = 0.05;
 constexpr double assumed_good_failure_share_alone = 0.25;
 constexpr std::array<double, failure_alternatives> assumed_bad_excesses{0.1, 0.25, 0.7};
+constexpr double largest_bad_share = 0.99;
+// A route on which the old version failed more often than this can't show a worse new one.
+constexpr double largest_comparable_share = 0.85;
 
 // Latency alternatives: calls above the class that a share of the old version's recent calls
 // exceed, with an odds ratio. A quarter shows a shift of the whole distribution, a twentieth
@@ -295,12 +298,19 @@
         }
         return result;
     }
-    result.m_informative = true;
     const auto failures = static_cast<double>(x);
     const auto successes = static_cast<double>(n_new - x);
-    const double good = old_seen ? assumed_good_failure_share : assumed_good_failure_share_alone;
+    double good = old_seen ? assumed_good_failure_share : assumed_good_failure_share_alone;
+    if (test.m_all_old_calls > 0) {
+        good = std::max(good, static_cast<double>(test.m_all_old_failures) /
+                                  static_cast<double>(test.m_all_old_calls));
+    }
+    if (good > largest_comparable_share) {
+        return result;
+    }
+    result.m_informative = true;
     for (std::size_t i = 0; i < failure_alternatives; ++i) {
-        const double bad = good + assumed_bad_excesses[i];
+        const double bad = std::min(good + assumed_bad_excesses[i], largest_bad_share);
         result.m_log[i] =
             failures * std::log(bad / good) + successes * std::log((1 - bad) / (1 - good));
     }
@@ -508,6 +518,8 @@
             add_arm(is_new ? test.m_pending_new : test.m_pending_old, counts);
             (is_new ? test.m_new_calls : test.m_old_calls) += counts.m_calls;
             (is_new ? test.m_new_failures : test.m_old_failures) += counts.m_failures;
+            test.m_all_old_calls += is_new ? 0 : counts.m_calls;
+            test.m_all_old_failures += is_new ? 0 : counts.m_failures;
             if (is_new) {
                 peaks[route].add(counts.m_failures);
             }
--- a/src/decide/move_evidence.hpp
+++ b/src/decide/move_evidence.hpp
@@ -83,6 +83,10 @@
     std::array<double, latency_classes> m_window_new{};
     double m_window_old_calls = 0;
     double m_window_old_failures = 0;
+    // Of the old version since the move began: what was always so on a route is no defect of the
+    // new version when at full weight there is no old traffic to compare with.
+    std::uint64_t m_all_old_calls = 0;
+    std::uint64_t m_all_old_failures = 0;
 };
 
 // The accumulated evidence for one move, at its holder or at one backend-side node.
--- a/tests/version_move_test.cpp
+++ b/tests/version_move_test.cpp
@@ -400,4 +400,15 @@
     BOOST_TEST(!stage_passed(evidence, 2, true));
 }
 
+// Guards against a good version taken back at full weight for a route whose calls always failed,
+// with the old version too: 4 of 4 failed on one restarted node, which had no old calls to compare
+// with.
+BOOST_AUTO_TEST_CASE(routes_that_always_failed_are_not_evidence) {
+    random_source random(first_seed());
+    move_evidence holder;
+    feed(holder, 20, {10, 1, 20, false}, {1, 1, 20, false}, random);
+    begin_stage(holder);
+    BOOST_TEST(feed(holder, 40, {0, 0, 20, false}, {4, 1, 20, false}, random) == 40);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
