--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,6 +1,6 @@
 """Randomized fault soak: real nodes, backend servers and a store behind the fault-injecting proxy.
 
-usage: soak.py BIN_DIR [--seeds FIRST..LAST | --seeds N,N | --fresh COUNT | --kept] [--seconds S]
+usage: soak.py BIN_DIR [--seeds FIRST..LAST | --seeds N,N | --fresh COUNT] [--kept] [--seconds S]
 
 For each seed, faults overlap for some seconds while callers keep calling, and the promises are
 checked from what callers and backend servers see; then everything heals, and the mesh has to work
@@ -261,10 +261,12 @@
     return passed
 
 
+def kept_seeds():
+    with open(KEPT_SEEDS) as kept:
+        return [int(line.split()[0]) for line in kept if line[:1].isdigit()]
+
+
 def seeds_of(arguments):
-    if arguments.kept:
-        with open(KEPT_SEEDS) as kept:
-            return [int(line.split()[0]) for line in kept if line[:1].isdigit()]
     if arguments.fresh:
         return [int.from_bytes(os.urandom(4), "big") for _ in range(arguments.fresh)]
     first, _, last = arguments.seeds.partition("..")
@@ -281,7 +283,8 @@
     parser.add_argument("--kept", action="store_true")
     parser.add_argument("--seconds", type=int, default=12)
     arguments = parser.parse_args()
-    results = [soak(arguments.bins, seed, arguments.seconds) for seed in seeds_of(arguments)]
+    seeds = seeds_of(arguments) + (kept_seeds() if arguments.kept else [])
+    results = [soak(arguments.bins, seed, arguments.seconds) for seed in seeds]
     print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
     sys.exit(0 if all(results) else 1)
 
