Bind a leave without a start to the late report that follows it

A report sent earlier came 2.1 s later and was taken for news, so that the server got calls for 0.4 s. Change: a report within 6 s of such a leave whose sequence is above 2 is taken for the last of the incarnation that left; what started later is used at once, by its start and its sequence. Result: the late report is stale in the new unit test.

--- a/src/decide/own_server.cpp
+++ b/src/decide/own_server.cpp
@@ -9,10 +9,26 @@
 }
 
 // True for a late report of a server that said before that it stops.
-bool has_left(const own_server& server, const server_report& report) {
-    const auto& leave = server.m_unknown_leave;
-    return leave && leave->m_server == report.m_server && leave->m_started_ms &&
-           report.m_started_ms <= *leave->m_started_ms;
+// Reports may arrive seconds late.
+constexpr milliseconds latest_report{6'000};
+// The highest sequence of a server that may have started since it left: its count starts anew, and
+// it needs some seconds to stop and start.
+constexpr std::uint64_t new_incarnation_sequence = 2;
+
+// True when the report comes from an incarnation that said that it stops before this node knew it.
+// A leave that doesn't state when its server started is taken for that of the incarnation whose
+// late report follows it.
+bool has_left(own_server& server, const server_report& report, time_point now) {
+    auto& leave = server.m_unknown_leave;
+    if (!leave || leave->m_server != report.m_server) {
+        return false;
+    }
+    const bool late = now - server.m_unknown_leave_at <= latest_report &&
+                      report.m_sequence > new_incarnation_sequence;
+    if (!leave->m_started_ms && late) {
+        leave->m_started_ms = report.m_started_ms;
+    }
+    return leave->m_started_ms && report.m_started_ms <= *leave->m_started_ms;
 }
 
 } // namespace
@@ -34,7 +50,7 @@
     if (report.m_address != own_address) {
         return report_verdict::foreign;
     }
-    if (has_left(server, report)) {
+    if (has_left(server, report, now)) {
         return report_verdict::stale;
     }
     if (is_current(server, report.m_server, report.m_started_ms)) {
@@ -46,8 +62,10 @@
             return report_verdict::stale;
         }
         const auto unknown_leave = server.m_unknown_leave;
+        const time_point unknown_leave_at = server.m_unknown_leave_at;
         server = own_server{};
         server.m_unknown_leave = unknown_leave;
+        server.m_unknown_leave_at = unknown_leave_at;
     }
     server.m_report = report;
     server.m_reported_at = now;
@@ -56,9 +74,10 @@
     return report_verdict::taken;
 }
 
-report_verdict receive_leave(own_server& server, const server_leave& leave) {
+report_verdict receive_leave(own_server& server, const server_leave& leave, time_point now) {
     if (!server.m_report || server.m_report->m_server != leave.m_server) {
         server.m_unknown_leave = leave;
+        server.m_unknown_leave_at = now;
         return report_verdict::stale;
     }
     if (leave.m_started_ms && *leave.m_started_ms != server.m_report->m_started_ms) {
--- a/src/decide/own_server.hpp
+++ b/src/decide/own_server.hpp
@@ -39,6 +39,7 @@
     std::optional<server_report> m_report; // latest one of the current incarnation
     // The last leave of a server that was not known then, as to a node that has just restarted.
     std::optional<server_leave> m_unknown_leave;
+    time_point m_unknown_leave_at;
     time_point m_reported_at;
     time_point m_cold_until;
     bool m_left = false;        // it said that it stops
@@ -60,7 +61,7 @@
                               const ip_endpoint& own_address, time_point now);
 
 // The server said that it stops. A leave of an earlier incarnation is stale.
-report_verdict receive_leave(own_server& server, const server_leave& leave);
+report_verdict receive_leave(own_server& server, const server_leave& leave, time_point now);
 
 // Why the server may get no call: none if it may; draining, or connect_failed while it is not
 // there.
--- a/src/node/server_reports.cpp
+++ b/src/node/server_reports.cpp
@@ -60,7 +60,7 @@
                   {{"server", server}, {"reason", reason.m_text}});
         return {400, "application/json", "{}"};
     }
-    const report_verdict verdict = receive_leave(state.m_own_server, *leave);
+    const report_verdict verdict = receive_leave(state.m_own_server, *leave, state.now());
     log_event(log_level::info, "server_leave",
               {{"server", server}, {"verdict", report_verdict_name(verdict)}});
     refresh_own_server(state);
--- a/tests/own_server_test.cpp
+++ b/tests/own_server_test.cpp
@@ -58,10 +58,10 @@
     BOOST_TEST((server_refusal(server, start, silence) == error_kind::draining));
     take(server, make_report("a", 1, 200));
     BOOST_TEST((server_refusal(server, start, silence) == error_kind::none));
-    BOOST_TEST((receive_leave(server, {"a", 100}) == report_verdict::stale));
-    BOOST_TEST((receive_leave(server, {"z", {}}) == report_verdict::stale));
+    BOOST_TEST((receive_leave(server, {"a", 100}, start) == report_verdict::stale));
+    BOOST_TEST((receive_leave(server, {"z", {}}, start) == report_verdict::stale));
     BOOST_TEST((server_refusal(server, start, silence) == error_kind::none));
-    BOOST_TEST((receive_leave(server, {"a", 200}) == report_verdict::taken));
+    BOOST_TEST((receive_leave(server, {"a", 200}, start) == report_verdict::taken));
     BOOST_TEST((server_refusal(server, start, silence) == error_kind::draining));
 }
 
@@ -83,7 +83,7 @@
 // restarted in between and knew nothing of the server when it acknowledged the leave.
 BOOST_AUTO_TEST_CASE(a_leave_before_any_report_binds) {
     own_server server;
-    BOOST_TEST((receive_leave(server, {"a", 100}) == report_verdict::stale));
+    BOOST_TEST((receive_leave(server, {"a", 100}, start) == report_verdict::stale));
     BOOST_TEST((take(server, make_report("a", 18, 100)) == report_verdict::stale));
     BOOST_TEST((server_refusal(server, start, silence) == error_kind::connect_failed));
     BOOST_TEST((take(server, make_report("a", 1, 200)) == report_verdict::taken));
@@ -91,4 +91,25 @@
     BOOST_TEST((server_refusal(server, start, silence) == error_kind::none));
 }
 
+// Guards against a late report that arrives after a leave which doesn't state when its server
+// started, at a node that has restarted in between: the server got calls 2.1 s after its leave was
+// acknowledged. A server that starts again under the same identity is used at once.
+BOOST_AUTO_TEST_CASE(a_leave_without_a_start_binds_the_late_report) {
+    own_server server;
+    BOOST_TEST((receive_leave(server, {"a", {}}, start) == report_verdict::stale));
+    const time_point late = start + milliseconds(2'100);
+    BOOST_TEST((take(server, make_report("a", 22, 100), late) == report_verdict::stale));
+    BOOST_TEST((server_refusal(server, late, silence) == error_kind::connect_failed));
+    BOOST_TEST((take(server, make_report("a", 1, 200), late) == report_verdict::taken));
+    BOOST_TEST((server_refusal(server, late, silence) == error_kind::none));
+    // Its first report may be lost, and a long time later the leave says nothing of a report.
+    own_server other;
+    receive_leave(other, {"a", {}}, start);
+    BOOST_TEST((take(other, make_report("a", 2, 200), late) == report_verdict::taken));
+    own_server later;
+    receive_leave(later, {"a", {}}, start);
+    const time_point much_later = start + milliseconds(10'000);
+    BOOST_TEST((take(later, make_report("a", 9, 200), much_later) == report_verdict::taken));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
