--- a/src/node/join.cpp
+++ b/src/node/join.cpp
@@ -75,15 +75,19 @@
     return targets;
 }
 
-// Asks some of the members learnt so far.
-// False if there are none left to ask.
-bool ask_known_members(control& state) {
-    std::vector<ip_endpoint> known = known_targets(state);
-    std::shuffle(known.begin(), known.end(), state.m_random);
-    known.resize(std::min(known.size(), join_targets));
-    for (const ip_endpoint& target : known) {
+// Joins through a few of the addresses, chosen at random.
+void join_through_some(control& state, std::vector<ip_endpoint> targets) {
+    std::shuffle(targets.begin(), targets.end(), state.m_random);
+    targets.resize(std::min(targets.size(), join_targets));
+    for (const ip_endpoint& target : targets) {
         join_through(state, target);
     }
+}
+
+// Asks some of the members learnt so far. False if there are none left to ask.
+bool ask_known_members(control& state) {
+    std::vector<ip_endpoint> known = known_targets(state);
+    join_through_some(state, known);
     return !known.empty();
 }
 
@@ -116,11 +120,7 @@
     std::vector<ip_endpoint> targets = known_targets(state);
     const auto& named = state.m_join.m_entry_points;
     targets.insert(targets.end(), named.begin(), named.end());
-    std::shuffle(targets.begin(), targets.end(), state.m_random);
-    targets.resize(std::min(targets.size(), join_targets));
-    for (const ip_endpoint& target : targets) {
-        join_through(state, target);
-    }
+    join_through_some(state, std::move(targets));
 }
 
 // Asks some of the entry points that are no known members' addresses. They may belong to nodes that
@@ -136,11 +136,7 @@
             targets.push_back(named);
         }
     }
-    std::shuffle(targets.begin(), targets.end(), state.m_random);
-    targets.resize(std::min(targets.size(), join_targets));
-    for (const ip_endpoint& target : targets) {
-        join_through(state, target);
-    }
+    join_through_some(state, std::move(targets));
 }
 
 // Looks in the store for members that this node doesn't know.
