Estimate waits in the queue by the latency of each route

Cause: admission used one smoothed latency for all calls of a server. Change: latency and its deviation are kept by route; the wait is the work queued ahead over the slots, corrected by how earlier estimates of that urgency turned out; a call that can't be in time any more goes behind those that can.

--- a/src/config/mesh.hpp
+++ b/src/config/mesh.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -24,6 +25,7 @@
 
 // Order in which the backend side serves queued calls.
 enum class urgency : std::uint8_t { urgent, normal, background };
+constexpr std::size_t urgency_levels = 3;
 
 // Returns the word for an urgency in texts, headers and logs.
 std::string_view urgency_name(urgency value);
--- a/src/decide/admission.cpp
+++ b/src/decide/admission.cpp
@@ -48,6 +48,11 @@
 // A waiting call is given up when this part of the smoothed latency is all that is left to it: it
 // could hardly be answered in time, and its caller can still come back.
 constexpr int least_time_percent = 60;
+// Bounds of the ratio between waits and their estimates, and the shortest wait that is compared:
+// below it the moment at which a slot becomes free decides.
+constexpr double least_wait_ratio = 0.25;
+constexpr double most_wait_ratio = 4;
+constexpr milliseconds least_compared_wait{5};
 // Highest load told: more waiting calls make no difference to whom callers choose.
 constexpr std::uint64_t max_load_permille = 10'000;
 
@@ -87,20 +92,48 @@
     }
 }
 
-// How long a call behind so many others waits for a slot and runs, as far as known.
-duration expected_time(const admission_state& state, std::uint32_t ahead, time_point now) {
+// How long a call of the route runs, as far as known.
+duration run_time(const admission_state& state, std::string_view route) {
+    const route_latency* known = find_route_latency(state.m_route_latencies, route);
+    return known == nullptr ? state.m_smoothed_latency : known->m_mean;
+}
+
+// Reserve for the difference between the calls of a route, or of all routes.
+duration run_time_reserve(const admission_state& state, std::string_view route) {
+    const route_latency* known = find_route_latency(state.m_route_latencies, route);
+    return known == nullptr ? state.m_smoothed_latency * reserve_percent / 100 : known->m_deviation;
+}
+
+// How long a call that is to wait behind the first calls of the queue waits for a slot.
+duration expected_wait(const admission_state& state, const queued_call& call, std::size_t ahead,
+                       time_point now) {
     const std::uint32_t limit = allowed(state);
-    const duration busy = state.m_smoothed_latency * (ahead + limit) / limit;
+    duration work = state.m_smoothed_latency; // until the first slot becomes free
+    for (std::size_t i = 0; i < ahead; ++i) {
+        work += run_time(state, state.m_queue[i].m_route);
+    }
+    const double ratio = state.m_wait_ratio[static_cast<std::size_t>(call.m_urgency)];
+    const auto wait = std::chrono::duration_cast<duration>(ratio * work / limit);
     if (!says_cold(state, now)) {
-        return busy;
+        return wait;
     }
-    const std::chrono::duration<double> paced(ahead / state.m_limits.m_cold_per_second);
-    return std::max(busy, std::chrono::duration_cast<duration>(paced) + state.m_smoothed_latency);
+    const std::chrono::duration<double> paced(static_cast<double>(ahead + 1) /
+                                              state.m_limits.m_cold_per_second);
+    return std::max(wait, std::chrono::duration_cast<duration>(paced));
 }
 
-// The same with a reserve, since calls differ in the time that they take.
-duration careful_time(const admission_state& state, std::uint32_t ahead, time_point now) {
-    return expected_time(state, ahead, now) + state.m_smoothed_latency * reserve_percent / 100;
+// Compares a wait that is over with the estimate. Calls that are late give way to all others, so
+// their waits say nothing.
+void learn_wait(admission_state& state, const queued_call& call, time_point now) {
+    if (call.m_route.empty() || call.m_late || call.m_expected_wait < least_compared_wait) {
+        return;
+    }
+    const double ratio = std::chrono::duration<double>(now - call.m_queued_at) /
+                         std::chrono::duration<double>(call.m_expected_wait);
+    double& known = state.m_wait_ratio[static_cast<std::size_t>(call.m_urgency)];
+    // The estimate holds the ratio already, so the product is what would have been right.
+    const double right = std::clamp(known * ratio, least_wait_ratio, most_wait_ratio);
+    known += (right - known) / smoothing;
 }
 
 bool at_slots(const admission_state& state) {
@@ -201,13 +234,32 @@
     state.m_cold_limit = std::clamp<double>(next, 1, std::max(1U, state.m_limits.m_slots));
 }
 
+// The least time that a waiting call of the route needs to be of use.
+duration least_time(const admission_state& state, std::string_view route) {
+    return run_time(state, route) * least_time_percent / 100;
+}
+
+// Puts calls that can't be answered in time any more behind those that still can.
+void demote_late_calls(admission_state& state, time_point now) {
+    bool changed = false;
+    for (queued_call& call : state.m_queue) {
+        if (!call.m_late && call.m_useful_until != time_point{} &&
+            call.m_useful_until <= now + least_time(state, call.m_route)) {
+            call.m_late = true;
+            changed = true;
+        }
+    }
+    if (changed) {
+        std::sort(state.m_queue.begin(), state.m_queue.end(), goes_before);
+    }
+}
+
 // Moves expired calls and then, while the limit allows, the first ones out of the queue.
 admission_release release_waiting(admission_state& state, time_point now) {
     admission_release release;
     std::size_t taken = 0;
-    const time_point answered = now + state.m_smoothed_latency * least_time_percent / 100;
-    const auto too_late = [answered](const queued_call& call) {
-        return call.m_deadline <= answered;
+    const auto too_late = [&state, now](const queued_call& call) {
+        return call.m_deadline <= now + least_time(state, call.m_route);
     };
     for (const queued_call& call : state.m_queue) {
         if (too_late(call)) {
@@ -215,7 +267,9 @@
         }
     }
     std::erase_if(state.m_queue, too_late);
+    demote_late_calls(state, now);
     while (taken < state.m_queue.size() && may_begin(state, now)) {
+        learn_wait(state, state.m_queue[taken], now);
         release.m_run.push_back(state.m_queue[taken].m_id);
         begin_call(state, now);
         ++taken;
@@ -245,7 +299,8 @@
 // The queue is kept in order of service. The estimate of the wait refuses a call only behind calls
 // that are at least as urgent, so that no urgent call is refused while less urgent ones wait.
 admission_result admission_offer(admission_state& state, std::uint64_t call, urgency level,
-                                 time_point deadline, time_point now, time_point useful_until) {
+                                 time_point deadline, time_point now, time_point useful_until,
+                                 std::string_view route) {
     admission_result result;
     if (state.m_draining) {
         result.m_reason = error_kind::draining;
@@ -263,16 +318,18 @@
     const bool cold = !at_slots(state) || says_cold(state, now);
     const error_kind full = cold ? error_kind::cold_start_limit : error_kind::queue_full;
     const bool late = useful_until != time_point{} && useful_until <= now;
-    const queued_call waiting{call, level, late, deadline, state.m_next_order++};
+    queued_call waiting{
+        call, level, late, deadline, state.m_next_order++, std::string(route), useful_until, now};
     const auto place =
         std::upper_bound(state.m_queue.begin(), state.m_queue.end(), waiting, goes_before);
+    const auto ahead = static_cast<std::size_t>(place - state.m_queue.begin());
+    waiting.m_expected_wait = expected_wait(state, waiting, ahead, now);
     const bool less_urgent_wait =
         !state.m_queue.empty() && state.m_queue.back().m_urgency > waiting.m_urgency;
     if (!less_urgent_wait) {
-        const auto ahead = place - state.m_queue.begin() + 1;
-        const auto place_in_queue = static_cast<std::uint32_t>(ahead);
         const time_point latest = useful_until > now ? std::min(useful_until, deadline) : deadline;
-        const time_point answered = now + careful_time(state, place_in_queue, now);
+        const time_point answered =
+            now + waiting.m_expected_wait + run_time(state, route) + run_time_reserve(state, route);
         if (answered > latest) {
             result.m_reason = full;
             result.m_room_after = answered - latest;
@@ -288,9 +345,9 @@
         const auto position = place - state.m_queue.begin();
         result.m_displaced = state.m_queue.back().m_id;
         state.m_queue.pop_back();
-        state.m_queue.insert(state.m_queue.begin() + position, waiting);
+        state.m_queue.insert(state.m_queue.begin() + position, std::move(waiting));
     } else {
-        state.m_queue.insert(place, waiting);
+        state.m_queue.insert(place, std::move(waiting));
     }
     result.m_verdict = admission_verdict::wait;
     return result;
@@ -321,6 +378,7 @@
         return release_waiting(state, now);
     }
     learn_latency(state, sample.m_latency, now);
+    learn_route_latency(state.m_route_latencies, sample.m_route, sample.m_latency);
     const bool slow = state.m_best_latency != duration{} &&
                       state.m_smoothed_latency > cold_factor * state.m_best_latency;
     if (slow && state.m_cold_limit > 1) {
--- a/src/decide/admission.hpp
+++ b/src/decide/admission.hpp
@@ -2,14 +2,17 @@
 // enforces slots, the bounded queue and the cold-start limit.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/clock.hpp"
 #include "base/error.hpp"
 #include "config/mesh.hpp"
+#include "decide/route_latency.hpp"
 
 namespace caraway {
 
@@ -33,6 +36,10 @@
     bool m_late = false; // its answer has lost most of its worth already
     time_point m_deadline;
     std::uint64_t m_order = 0; // arrival
+    std::string m_route;       // empty: not told
+    time_point m_useful_until; // when the answer loses most of its worth; not known if long past
+    time_point m_queued_at;
+    duration m_expected_wait{}; // for a slot, as estimated on arrival
 };
 
 struct admission_state {
@@ -41,6 +48,10 @@
     double m_cold_limit = 1;   // concurrent calls allowed; equals the slots when warm
     duration m_best_latency{}; // best smoothed latency seen; zero until the first answer
     duration m_smoothed_latency{};
+    route_latencies m_route_latencies;
+    // By urgency: how long calls waited for a slot over how long they were expected to. More urgent
+    // calls that keep coming make the others wait longer than the queue shows.
+    std::array<double, urgency_levels> m_wait_ratio{1, 1, 1};
     std::uint32_t m_answers = 0; // successful ones since the smoothing began or the limit dropped
     std::uint32_t m_fast_answers = 0;    // in a row since the limit last changed
     double m_failure_share = 0;          // of the last calls, smoothed
@@ -79,12 +90,15 @@
 // smoothed latency and the queue before it, or when the queue is full of calls at least as urgent.
 // useful_until, if known, is when an answer loses most of its worth: a call that would wait past it
 // is refused, too, since in an overload that lasts, all calls would else be served late. A call for
-// which that time has passed waits behind all others of its urgency.
+// which that time has passed waits behind all others of its urgency. route tells calls of different
+// work apart; without it all are taken for alike.
 admission_result admission_offer(admission_state& state, std::uint64_t call, urgency level,
-                                 time_point deadline, time_point now, time_point useful_until = {});
+                                 time_point deadline, time_point now, time_point useful_until = {},
+                                 std::string_view route = {});
 
 // How a call that ran ended.
 struct call_sample {
+    std::string m_route; // empty: not told
     duration m_latency{};
     bool m_failed = false;    // refused connection, cut, timeout, 5xx
     bool m_shed = false;      // the backend server said that it is overloaded
--- a/src/decide/pushback.hpp
+++ b/src/decide/pushback.hpp
@@ -12,8 +12,6 @@
 
 namespace caraway {
 
-constexpr std::size_t urgency_levels = 3;
-
 // Until when one backend server is taken to refuse calls of each urgency.
 struct refusal_memory {
     std::array<time_point, urgency_levels> m_until{};
--- a/src/traffic/admission_gate.cpp
+++ b/src/traffic/admission_gate.cpp
@@ -57,9 +57,8 @@
     update_load();
 }
 
-bool admission_gate::enter(call_control& control, urgency level, time_point useful_until,
-                           bool& cold, duration& room_after, boost::asio::yield_context yield,
-                           error& reason) {
+bool admission_gate::enter(call_control& control, const admission_request& request, bool& cold,
+                           duration& room_after, boost::asio::yield_context yield, error& reason) {
     auto waiting = std::make_shared<waiting_call>();
     std::uint64_t call = 0;
     {
@@ -68,12 +67,12 @@
         const time_point now = m_clock.now();
         cold = is_cold(m_state, now);
         const time_point deadline = control.deadline();
-        const admission_result offered =
-            admission_offer(m_state, call, level, deadline, now, useful_until);
+        const admission_result offered = admission_offer(
+            m_state, call, request.m_level, deadline, now, request.m_useful_until, request.m_route);
         if (is_recording()) {
             record_input(part, "offer", now,
                          {{"call", call},
-                          {"urgency", static_cast<std::uint32_t>(level)},
+                          {"urgency", static_cast<std::uint32_t>(request.m_level)},
                           {"deadline_ns", to_ns(deadline.time_since_epoch())}},
                          action_text(m_state, offered));
         }
--- a/src/traffic/admission_gate.hpp
+++ b/src/traffic/admission_gate.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <mutex>
+#include <string_view>
 #include <unordered_map>
 
 #include "decide/admission.hpp"
@@ -14,6 +15,13 @@
 
 namespace caraway {
 
+// A call that asks for a slot.
+struct admission_request {
+    urgency m_level = urgency::normal;
+    time_point m_useful_until; // when an answer loses most of its worth; not known if long past
+    std::string_view m_route;
+};
+
 class admission_gate {
 public:
     admission_gate(boost::asio::io_context& io, const clock_source& clock);
@@ -25,7 +33,7 @@
     // Waits for a slot. False with the reason when the call is refused or ended while waiting;
     // true when it may run, and then leave() must follow. cold tells whether the cold-start limit
     // was below the slots, room_after when a refused call might be taken.
-    bool enter(call_control& control, urgency level, time_point useful_until, bool& cold,
+    bool enter(call_control& control, const admission_request& request, bool& cold,
                duration& room_after, boost::asio::yield_context yield, error& reason);
     // A call that entered has ended.
     void leave(const call_sample& sample);
--- a/src/traffic/backend_side.cpp
+++ b/src/traffic/backend_side.cpp
@@ -199,6 +199,7 @@
                                    : service->second.m_spec.m_latency_limit;
     const bool server_error = result.m_answer && result.m_answer->result_int() >= 500;
     const bool failed = server_error || is_server_failure(reason);
+    sample.m_route = info.m_route;
     sample.m_latency = latency;
     sample.m_failed = failed && (reason != error_kind::deadline_after_send ||
                                  context.m_gate.is_abnormal_wait(latency));
@@ -310,8 +311,8 @@
                             asio::yield_context yield) {
     server_result result;
     bool cold = false;
-    if (!context.m_gate.enter(control, info.m_urgency, info.m_useful_until, cold,
-                              result.m_room_after, yield, result.m_reason)) {
+    const admission_request asked{info.m_urgency, info.m_useful_until, info.m_route};
+    if (!context.m_gate.enter(control, asked, cold, result.m_room_after, yield, result.m_reason)) {
         return result;
     }
     admission_slot slot(context.m_gate);
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -309,6 +309,88 @@
     BOOST_TEST(in_time >= 360); // 4 slots run 400 calls in 10 s
 }
 
+// Guards against estimates from the mean of all routes: with many short and some long calls, the
+// long ones were admitted behind a queue that took too long for each of them, so that in an
+// overload every one of them was answered late.
+BOOST_AUTO_TEST_CASE(long_calls_among_many_short_ones_are_answered_in_time) {
+    constexpr milliseconds short_time{11};
+    constexpr milliseconds long_time{105};
+    constexpr milliseconds target{400};
+    admission_limits limits;
+    limits.m_slots = 9;
+    limits.m_queue = 48;
+    limits.m_infers_cold = false;
+    admission_state state = make_admission(limits);
+    set_admission_limits(state, limits);
+    struct known_call {
+        bool m_long = false;
+        time_point m_arrived;
+    };
+    std::map<std::uint64_t, known_call> calls;
+    std::multimap<time_point, std::uint64_t> running;
+    int in_time = 0;
+    int late = 0;
+    std::uint64_t next = 1;
+    for (time_point now{}; now < time_point{} + std::chrono::seconds(20); now += milliseconds(1)) {
+        std::vector<std::uint64_t> begun;
+        while (!running.empty() && running.begin()->first <= now) {
+            const known_call ended = calls[running.begin()->second];
+            running.erase(running.begin());
+            if (ended.m_long && now > time_point{} + std::chrono::seconds(5)) {
+                ++(now - ended.m_arrived <= target ? in_time : late);
+            }
+            call_sample sample;
+            sample.m_route = ended.m_long ? "/long" : "/short";
+            sample.m_latency = ended.m_long ? long_time : short_time;
+            const auto released = admission_finish(state, sample, now).m_run;
+            begun.insert(begun.end(), released.begin(), released.end());
+        }
+        const auto offer = [&](bool is_long) {
+            calls[next] = {is_long, now};
+            const urgency level = is_long ? urgency::normal : urgency::urgent;
+            if (admission_offer(state, next, level, now + milliseconds(1'000), now, now + target,
+                                is_long ? "/long" : "/short")
+                    .m_verdict == admission_verdict::run) {
+                begun.push_back(next);
+            }
+            ++next;
+        };
+        const auto ms = now.time_since_epoch() / milliseconds(1);
+        if (ms % 7 == 0) {
+            offer(false);
+        }
+        if (ms % 9 == 0) {
+            offer(true);
+        }
+        for (const std::uint64_t id : begun) {
+            running.emplace(now + (calls[id].m_long ? long_time : short_time), id);
+        }
+    }
+    BOOST_TEST(late * 20 <= in_time);
+    // Nine slots, less 1.6 for the short calls, run 1,050 long ones in 15 s.
+    BOOST_TEST(in_time >= 950);
+}
+
+// Guards against a queue in which calls that have become late hold up those that have not.
+BOOST_AUTO_TEST_CASE(calls_that_became_late_in_the_queue_give_way) {
+    admission_limits limits;
+    limits.m_slots = 1;
+    limits.m_infers_cold = false;
+    admission_state state = make_admission(limits);
+    set_admission_limits(state, limits);
+    time_point now{std::chrono::seconds(10)};
+    const time_point far = now + std::chrono::seconds(5);
+    admission_offer(state, 1, urgency::normal, far, now);
+    admission_offer(state, 2, urgency::normal, far, now, now + milliseconds(50));
+    admission_offer(state, 3, urgency::normal, far + milliseconds(1), now,
+                    now + std::chrono::seconds(1));
+    now += milliseconds(200); // longer than expected
+    BOOST_TEST(
+        (admission_finish(state, call_sample{}, now).m_run == std::vector<std::uint64_t>{3}));
+    BOOST_TEST(
+        (admission_finish(state, call_sample{}, now).m_run == std::vector<std::uint64_t>{2}));
+}
+
 // Guards against callers that come back late and, with the nearer deadline, take the slots before
 // calls that can still be answered in time: in an overload all would then be late.
 BOOST_AUTO_TEST_CASE(late_calls_wait_behind_those_that_can_be_in_time) {
