Count the bytes between nodes by purpose and data centre

Change: each exchange is counted at the node that began it, by purpose and by whether it leaves the data centre; served ones apart.

--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -184,6 +184,7 @@
     const clock_source& m_clock;
     random_source m_random;
     std::unique_ptr<node_metrics> m_metrics;
+    std::map<ip_endpoint, bool> m_address_is_local; // UDP and bulk addresses of members
 
     membership_table m_members;
     distribution_state m_distribution;
@@ -219,6 +220,7 @@
     time_point m_next_digest;
     time_point m_next_evidence;
     time_point m_next_gauges;
+    time_point m_next_byte_line;
 
     std::unique_ptr<datagram_socket> m_udp;
     std::unique_ptr<bulk_transport> m_bulk;
--- a/src/node/gossip.cpp
+++ b/src/node/gossip.cpp
@@ -58,6 +58,31 @@
     }
 };
 
+// What a request to another node is for.
+struct purpose_of {
+    byte_purpose operator()(const join_request&) const { return byte_purpose::join; }
+    byte_purpose operator()(const fetch_config_request&) const { return byte_purpose::text; }
+    byte_purpose operator()(const facts_message&) const { return byte_purpose::facts; }
+    byte_purpose operator()(const members_digest_request&) const { return byte_purpose::table; }
+    byte_purpose operator()(const merge_members_request&) const { return byte_purpose::table; }
+    byte_purpose operator()(const evidence_report&) const { return byte_purpose::other; }
+    byte_purpose operator()(const in_force_request&) const { return byte_purpose::other; }
+};
+
+byte_scope scope_of(const control& state, const ip_endpoint& address) {
+    const auto found = state.m_address_is_local.find(address);
+    const bool local = found != state.m_address_is_local.end() && found->second;
+    return local ? byte_scope::own_data_centre : byte_scope::other_data_centre;
+}
+
+void send_packet(control& state, const membership_action& action) {
+    const std::string bytes = encode_packet(action.m_packet);
+    const bool rumour = action.m_packet.m_kind == packet_kind::rumour;
+    state.m_metrics->bytes().add(rumour ? byte_purpose::rumour : byte_purpose::probe,
+                                 scope_of(state, action.m_to), bytes.size());
+    state.m_udp->send(action.m_to, bytes);
+}
+
 // Logs the change; a member that is gone holds no texts any more.
 void note_member_change(control& state, const std::string& instance) {
     const auto found = state.m_members.m_members.find(instance);
@@ -65,6 +90,9 @@
         return;
     }
     const member& changed = found->second.m_member;
+    const bool local = changed.m_data_centre == state.m_settings.m_data_centre;
+    state.m_address_is_local[changed.m_udp] = local;
+    state.m_address_is_local[changed.m_bulk] = local;
     const bool left = changed.m_state == member_state::left;
     if (left || changed.m_state == member_state::dead) {
         forget_holder(state, instance);
@@ -103,7 +131,7 @@
     for (const membership_action& action : actions) {
         switch (action.m_kind) {
         case membership_action::kind::send:
-            state.m_udp->send(action.m_to, encode_packet(action.m_packet));
+            send_packet(state, action);
             break;
         case membership_action::kind::member_changed:
             state.m_snapshot_dirty = true;
@@ -139,17 +167,25 @@
         log_event(log_level::warning, "request_dropped", {{"reason", reason.m_text}});
         return encode_reply(reason.m_kind);
     }
-    return encode_reply(std::visit(bulk_server{state}, *decoded));
+    std::string reply = encode_reply(std::visit(bulk_server{state}, *decoded));
+    state.m_metrics->bytes().add(std::visit(purpose_of{}, *decoded), byte_scope::served,
+                                 request.size() + reply.size());
+    return reply;
 }
 
 void send_bulk(control& state, const ip_endpoint& to, const bulk_request& request,
                std::function<void(std::optional<bulk_reply>)> done) {
-    state.m_bulk->request(to, encode_request(request), state.m_settings.m_fetch_timeout,
-                          [done = std::move(done)](error_kind kind, std::string_view bytes) {
-                              error reason;
-                              done(kind == error_kind::none ? decode_reply(bytes, reason)
-                                                            : std::nullopt);
-                          });
+    const byte_purpose purpose = std::visit(purpose_of{}, request);
+    const byte_scope scope = scope_of(state, to);
+    const std::string encoded = encode_request(request);
+    state.m_metrics->bytes().add(purpose, scope, encoded.size());
+    state.m_bulk->request(
+        to, encoded, state.m_settings.m_fetch_timeout,
+        [&state, purpose, scope, done = std::move(done)](error_kind kind, std::string_view bytes) {
+            state.m_metrics->bytes().add(purpose, scope, bytes.size());
+            error reason;
+            done(kind == error_kind::none ? decode_reply(bytes, reason) : std::nullopt);
+        });
 }
 
 void tick_gossip(control& state, time_point now) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -25,6 +25,8 @@
 // A second reader goes on watching while the lease of a dead one runs out.
 constexpr int readers_per_data_centre = 2;
 constexpr milliseconds gauge_interval{1'000};
+// Pause between the log lines of the bytes moved: a process that is killed has told most of them.
+constexpr milliseconds byte_line_interval{10'000};
 
 std::uint64_t choose_seed(const node_settings& settings) {
     if (settings.m_seed != 0) {
@@ -244,6 +246,10 @@
             return;
         }
         m_state.m_next_gauges = now + gauge_interval;
+        if (now >= m_state.m_next_byte_line) {
+            m_state.m_next_byte_line = now + byte_line_interval;
+            log_bytes(m_state.m_metrics->bytes());
+        }
         std::map<member_state, std::uint64_t> counts;
         for (const auto& [name, tracked] : m_state.m_members.m_members) {
             ++counts[tracked.m_member.m_state];
@@ -276,6 +282,7 @@
             release_leases(m_state);
             return false;
         }
+        log_bytes(m_state.m_metrics->bytes());
         log_event(log_level::info, "drained", {{"calls_cut", static_cast<std::uint64_t>(left)}});
         flush_recording();
         batch_log(false);
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -29,6 +29,8 @@
           m_calls(counters("caraway_calls_total", "Calls that ended, by side and outcome")),
           m_retries(counters("caraway_retries_total", "Second attempts of the entry side")),
           m_control_bytes(counters("caraway_control_bytes_total", "Bytes of control traffic")),
+          m_moved_bytes(counters("caraway_moved_bytes_total",
+                                 "Bytes of exchanges with other nodes, by purpose and scope")),
           m_store_calls(counters("caraway_store_calls_total", "Calls to the store by result")),
           m_latency(prometheus::BuildHistogram()
                         .Name("caraway_call_seconds")
@@ -71,11 +73,28 @@
         return *m_call_cache.emplace(id, &added).first->second;
     }
 
+    // Brings the exported counters up to the account, which is cheaper to add to.
+    void export_bytes() {
+        for (std::size_t i = 0; i < byte_purposes * byte_scopes; ++i) {
+            const auto purpose = static_cast<byte_purpose>(i / byte_scopes);
+            const auto scope = static_cast<byte_scope>(i % byte_scopes);
+            const auto bytes = static_cast<double>(m_bytes.bytes(purpose, scope));
+            if (bytes > 0) {
+                auto& counter =
+                    m_moved_bytes.Add({{"purpose", std::string(byte_purpose_name(purpose))},
+                                       {"scope", std::string(byte_scope_name(scope))}});
+                counter.Increment(bytes - counter.Value());
+            }
+        }
+    }
+
+    byte_account m_bytes;
     prometheus::Registry m_registry;
     prometheus::Labels m_labels;
     prometheus::Family<prometheus::Counter>& m_calls;
     prometheus::Family<prometheus::Counter>& m_retries;
     prometheus::Family<prometheus::Counter>& m_control_bytes;
+    prometheus::Family<prometheus::Counter>& m_moved_bytes;
     prometheus::Family<prometheus::Counter>& m_store_calls;
     prometheus::Family<prometheus::Histogram>& m_latency;
     prometheus::Histogram& m_entry_latency;
@@ -141,7 +160,12 @@
     m_impl->m_load.Add({{"state", "limit"}}).Set(limit);
 }
 
+byte_account& node_metrics::bytes() {
+    return m_impl->m_bytes;
+}
+
 std::string node_metrics::render() const {
+    m_impl->export_bytes();
     return prometheus::TextSerializer().Serialize(m_impl->m_registry.Collect());
 }
 
--- a/src/observe/metrics.hpp
+++ b/src/observe/metrics.hpp
@@ -8,6 +8,7 @@
 
 #include "base/clock.hpp"
 #include "base/error.hpp"
+#include "observe/byte_account.hpp"
 
 namespace caraway {
 
@@ -33,6 +34,8 @@
     // state is a name of member_state_name.
     void set_members(std::string_view state, std::uint64_t count);
     void set_load(std::uint32_t running, std::uint32_t waiting, std::uint32_t limit);
+    // The bytes moved, to be added to.
+    byte_account& bytes();
     // The text exposition format of all metrics.
     std::string render() const;
 
--- a/src/traffic/entry_side.cpp
+++ b/src/traffic/entry_side.cpp
@@ -255,6 +255,10 @@
     if (info.m_first_sent_ms) {
         set_number(request, header::first_sent, *info.m_first_sent_ms);
     }
+    const byte_scope scope =
+        backend.m_own_data_centre ? byte_scope::own_data_centre : byte_scope::other_data_centre;
+    byte_account& moved = context.m_metrics.bytes();
+    moved.add(byte_purpose::call, scope, message_bytes(request));
     const bool fresh = used->m_fresh;
     const auto belongs = [number, fresh](const http_response& candidate) {
         return belongs_to(candidate, number, fresh);
@@ -264,6 +268,7 @@
         return failed(true);
     }
     context.m_peers.give_back(std::move(used));
+    moved.add(byte_purpose::call, scope, message_bytes(*answer));
     call_reply reply;
     reply.m_reason = stated_reason(*answer);
     if (reply.m_reason == error_kind::internal) {
--- a/src/traffic/http_message.cpp
+++ b/src/traffic/http_message.cpp
@@ -117,6 +117,31 @@
     fields.set(http::field::retry_after, text);
 }
 
+namespace {
+
+// Start line and the empty line that ends the head.
+constexpr std::size_t framing_bytes = 24;
+// Colon, space and line end of one field.
+constexpr std::size_t field_framing_bytes = 4;
+
+std::size_t field_bytes(const http::fields& fields) {
+    std::size_t bytes = framing_bytes;
+    for (const auto& field : fields) {
+        bytes += field.name_string().size() + field.value().size() + field_framing_bytes;
+    }
+    return bytes;
+}
+
+} // namespace
+
+std::size_t message_bytes(const http_request& message) {
+    return field_bytes(message) + message.target().size() + message.body().size();
+}
+
+std::size_t message_bytes(const http_response& message) {
+    return field_bytes(message) + message.body().size();
+}
+
 http_response make_refusal(error_kind kind, std::string_view text) {
     const error_answer& row = answer_for(kind);
     http_response answer = make_json(row.m_status, boost::json::serialize(boost::json::object{
--- a/src/traffic/http_message.hpp
+++ b/src/traffic/http_message.hpp
@@ -87,6 +87,10 @@
 // The path of a request target: without query and, in absolute form, without scheme and authority.
 std::string_view path_of(std::string_view target);
 
+// About the bytes that a message takes on the wire.
+std::size_t message_bytes(const http_request& message);
+std::size_t message_bytes(const http_response& message);
+
 // Makes the answer to a call that failed, with status, outcome, reason and a short JSON body.
 http_response make_refusal(error_kind kind, std::string_view text);
 
