Keep probes and news in the data centre; let three carriers inform the others

Change: a data centre with twelve alive members or more is a group. Probes, gossip and comparisons of tables stay in it. Three carriers, by rendezvous hash among the alive members, probe the other data centres, send them each change of their own members in two rounds, and compare tables with them every 5 s; after a failed probe they look at that data centre more often. Leaves, refutations, suspensions and own changes go to one member of each other data centre at once. Smaller data centres work as before.

--- a/src/decide/membership.cpp
+++ b/src/decide/membership.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <utility>
 
+#include "decide/membership_groups.hpp"
 #include "decide/membership_merge.hpp"
 #include "decide/membership_packets.hpp"
 #include "decide/membership_probes.hpp"
@@ -85,10 +86,48 @@
         sender->m_member.m_incarnation >= received.m_incarnation) {
         add_entry(filler, shortened_entry(sender->m_member));
     }
-    add_updates(table, filler);
+    if (sender == nullptr || !is_remote(table, sender->m_member)) {
+        add_updates(table, filler);
+    }
     send(from, std::move(ack), out);
 }
 
+// Pause between comparisons of tables with a random member nearby, at random up to half more or
+// less, and between those of a carrier with another data centre.
+constexpr milliseconds comparison_interval{30'000};
+constexpr milliseconds remote_comparison_interval{5'000};
+// The first pause: when many nodes start together, those that answer first know only a few others.
+constexpr milliseconds complete_interval{500};
+
+void ask_comparison(const tracked_member& with, actions& out) {
+    membership_action action;
+    action.m_kind = membership_action::kind::compare_tables;
+    action.m_instance = with.m_member.m_instance;
+    out.push_back(std::move(action));
+}
+
+// Asks for the comparisons of tables that are due.
+void compare_due_tables(membership_table& table, time_point now, actions& out) {
+    if (now >= table.m_next_comparison) {
+        const bool completes = now - table.m_started < table.m_options.m_complete_time;
+        const auto spread = static_cast<std::uint64_t>(comparison_interval.count());
+        table.m_next_comparison =
+            now + (completes
+                       ? complete_interval
+                       : comparison_interval / 2 + milliseconds(table.m_random.below(spread)));
+        for (const tracked_member* each : pick_members(table, 1, {})) {
+            ask_comparison(*each, out);
+        }
+    }
+    if (now >= table.m_next_remote_comparison) {
+        table.m_next_remote_comparison = now + remote_comparison_interval;
+        const tracked_member* other = is_carrier(table) ? next_remote_target(table, {}) : nullptr;
+        if (other != nullptr) {
+            ask_comparison(*other, out);
+        }
+    }
+}
+
 } // namespace
 
 std::string_view member_state_name(member_state value) {
@@ -115,6 +154,10 @@
     table.m_self_changed = now;
     table.m_no_death_before = now;
     table.m_next_facts_differ = now;
+    table.m_next_remote_gossip = now;
+    table.m_next_remote_probe = now;
+    table.m_next_comparison = now;
+    table.m_next_remote_comparison = now;
     start_budgets(table, now);
     queue_self(table);
     return table;
@@ -129,6 +172,8 @@
     check_claims(table, now, out);
     ping_gone(table, now, out);
     gossip(table, now, out);
+    gossip_remote(table, now, out);
+    compare_due_tables(table, now, out);
     return out;
 }
 
--- a/src/decide/membership.hpp
+++ b/src/decide/membership.hpp
@@ -99,6 +99,8 @@
     // are not learnt again from nodes that forget later, and a dead one is still pinged now and
     // then, so that the halves of a long partition find each other again.
     milliseconds m_forgotten_retention{7'200'000};
+    // For this long after the start tables are compared twice a second; 0: as later.
+    milliseconds m_complete_time{0};
 };
 
 // What the adapter has to do after an event.
@@ -109,6 +111,7 @@
         version_heard,    // m_instance holds the text of configuration version m_config_version
         facts_differ,     // m_instance holds other facts; fetch them. At most one per second
         suspension_heard, // m_packet carries suspensions or records new to this node
+        compare_tables,   // compare the member table with that of m_instance
     };
     kind m_kind = kind::send;
     ip_endpoint m_to;
@@ -137,6 +140,8 @@
     bool m_counted_dead = false;    // in membership_table::m_dead
     std::uint32_t m_sends_left = 0; // piggyback transmissions still owed
     bool m_queued = false;          // in membership_table::m_update_queue
+    // Rounds of packets to the other data centres that the entry is still owed.
+    std::uint32_t m_remote_rounds = 0;
     bool m_in_probe_order = false;
     // Highest configuration version heard from this name, across restarts. A restarted instance
     // asks for it, since it must not apply a version below its predecessor's.
@@ -166,6 +171,13 @@
     std::uint64_t m_incarnation = 0;
 };
 
+// Live members of one data centre, in the order of probes; gone ones are dropped when they are met.
+// Each round is shuffled step by step.
+struct member_group {
+    std::vector<std::string> m_order;
+    std::size_t m_next = 0;
+};
+
 constexpr std::size_t member_bucket_count = 64;
 // Entries of members kept, forgotten ones included; further unknown members are ignored.
 constexpr std::size_t max_members = 65'536;
@@ -179,10 +191,11 @@
     std::size_t m_dead = 0;                                       // dead and not forgotten
     time_point m_started;                                         // with the wall clock's time
     std::uint64_t m_started_ms = 0;                               // of the same moment
-    // Live members in the order of probes; gone ones are dropped when they are met. Each round is
-    // shuffled step by step.
-    std::vector<std::string> m_probe_order;
-    std::size_t m_probe_next = 0;
+    std::map<std::string, member_group, std::less<>> m_groups;    // by data centre
+    // See membership_groups; worked out anew after a change of the own data centre's members.
+    bool m_group_changed = true;
+    bool m_grouped = false;
+    bool m_carrier = false;
     std::vector<probe> m_probes;
     std::uint64_t m_next_sequence = 1;
     time_point m_next_probe;
@@ -195,6 +208,15 @@
     std::deque<std::string> m_update_queue; // members with piggyback transmissions owed
     std::uint32_t m_self_sends_left = 0;    // the same for the own entry
     time_point m_next_gossip;               // of queued updates, between the probes
+    // As carrier: own members whose entries go to the other data centres, and when.
+    std::deque<std::string> m_remote_queue;
+    std::uint32_t m_remote_hints = 0; // packets owed for their header only
+    time_point m_next_remote_gossip;
+    time_point m_next_remote_probe;
+    std::string m_doubted_centre; // a probe of one of its members failed lately
+    time_point m_doubted_until;
+    time_point m_next_comparison; // of tables
+    time_point m_next_remote_comparison;
     // After a change of the own held version or facts, some packets are sent for their header only.
     std::uint32_t m_hints_left = 0;
     std::uint64_t m_hinted_version = 0;
@@ -209,6 +231,7 @@
     time_point m_next_facts_differ;
     double m_rumour_tokens = 0; // member rumours that may be forwarded at once
     double m_gossip_bytes = 0;  // that gossip between the probes may still use
+    double m_remote_bytes = 0;  // the same for packets to other data centres
     double m_reply_tokens = 0;  // unasked pings that may be sent
     time_point m_tokens_filled;
     std::set<std::uint64_t> m_known_facts; // hashes of the facts already forwarded
--- a/src/decide/membership_packets.cpp
+++ b/src/decide/membership_packets.cpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "decide/membership_groups.hpp"
 #include "decide/membership_packet_size.hpp"
 
 namespace caraway::swim {
@@ -21,6 +22,10 @@
 // The own entry goes into every packet for this long after the start or a new incarnation, since
 // most receivers don't have it yet.
 constexpr milliseconds introduce_time{30'000};
+// Rounds of packets to the other data centres that an entry travels with, from each carrier.
+constexpr std::uint32_t remote_rounds = 2;
+// Entries queued for the other data centres; the comparison of tables repairs what is left out.
+constexpr std::size_t max_remote_queue = 1'024;
 
 // Transmissions of one update.
 std::uint32_t sends_owed(const membership_table& table) {
@@ -35,6 +40,40 @@
         tracked.m_queued = true;
         table.m_update_queue.push_front(tracked.m_member.m_instance);
     }
+    if (tracked.m_member.m_data_centre == table.m_self.m_data_centre) {
+        queue_for_others(table, tracked);
+    }
+}
+
+void queue_for_others(membership_table& table, tracked_member& tracked) {
+    if (!is_carrier(table)) {
+        return;
+    }
+    if (tracked.m_remote_rounds == 0) {
+        if (table.m_remote_queue.size() >= max_remote_queue) {
+            return;
+        }
+        table.m_remote_queue.push_back(tracked.m_member.m_instance);
+    }
+    tracked.m_remote_rounds = remote_rounds;
+}
+
+void add_remote_updates(membership_table& table, packet_filler& filler) {
+    for (std::size_t left = table.m_remote_queue.size(); left > 0; --left) {
+        std::string name = std::move(table.m_remote_queue.front());
+        table.m_remote_queue.pop_front();
+        const auto found = table.m_members.find(name);
+        if (found == table.m_members.end() || found->second.m_remote_rounds == 0) {
+            continue;
+        }
+        if (!add_entry(filler, entry_to_send(found->second.m_member))) {
+            table.m_remote_queue.push_front(std::move(name));
+            return;
+        }
+        if (--found->second.m_remote_rounds > 0) {
+            table.m_remote_queue.push_back(std::move(name));
+        }
+    }
 }
 
 void queue_self(membership_table& table) {
@@ -164,7 +203,9 @@
     } else if (target.m_member.m_state != member_state::alive) {
         add_entry(filler, shortened_entry(target.m_member));
     }
-    add_updates(table, filler);
+    if (!is_remote(table, target.m_member)) {
+        add_updates(table, filler);
+    }
     send(target.m_member.m_udp, std::move(ping), out);
 }
 
--- a/src/decide/membership_packets.hpp
+++ b/src/decide/membership_packets.hpp
@@ -11,21 +11,28 @@
 
 namespace caraway::swim {
 
+// A packet being filled, with its estimated size.
+struct packet_filler {
+    packet& m_packet;
+    std::size_t m_bytes;
+};
+
 // Queues an entry as an update for the next packets, ahead of the updates that wait.
 void queue_update(membership_table& table, tracked_member& tracked);
 
 // The same for the own entry.
 void queue_self(membership_table& table);
 
+// Queues an entry for the other data centres. Entries of the own data centre's members are queued
+// there by queue_update already; this is for what this node found out of another one's member.
+void queue_for_others(membership_table& table, tracked_member& tracked);
+
+// Fills the rest of the packet with the entries that all other data centres are owed, each in turn.
+void add_remote_updates(membership_table& table, packet_filler& filler);
+
 // A packet with this node's header and nothing else.
 packet make_packet(const membership_table& table, packet_kind kind, std::string_view target);
 
-// A packet being filled, with its estimated size.
-struct packet_filler {
-    packet& m_packet;
-    std::size_t m_bytes;
-};
-
 packet_filler start_filling(packet& value);
 
 bool contains_update(const packet& value, std::string_view instance);
--- a/src/decide/membership_probes.cpp
+++ b/src/decide/membership_probes.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "decide/membership_groups.hpp"
 #include "decide/membership_packets.hpp"
 
 namespace caraway::swim {
@@ -31,33 +32,13 @@
 constexpr std::size_t least_mass_loss = 2;
 // A dead member kept because many are dead is looked at this often.
 constexpr milliseconds retention_check{60'000};
+// Probes per interval of a data centre of which a member has not answered, and for how long after
+// the last such probe.
+constexpr int doubt_probes_per_interval = 4;
+constexpr milliseconds doubt_time{5'000};
 // A gap between ticks longer than this means that the process was paused.
 constexpr milliseconds pause_threshold{1'000};
 
-// Takes the next member of the round. Drops entries of gone members on the way, a bounded number.
-tracked_member* next_probe_target(membership_table& table) {
-    std::vector<std::string>& order = table.m_probe_order;
-    for (int tries = 0; tries < 64 && !order.empty(); ++tries) {
-        if (table.m_probe_next >= order.size()) {
-            table.m_probe_next = 0;
-        }
-        const std::size_t place =
-            table.m_probe_next + table.m_random.below(order.size() - table.m_probe_next);
-        std::swap(order[table.m_probe_next], order[place]);
-        tracked_member* target = find_tracked(table, order[table.m_probe_next]);
-        if (target != nullptr && is_live(target->m_member.m_state)) {
-            ++table.m_probe_next;
-            return target;
-        }
-        if (target != nullptr) {
-            target->m_in_probe_order = false;
-        }
-        std::swap(order[table.m_probe_next], order.back());
-        order.pop_back();
-    }
-    return nullptr;
-}
-
 // Pings the target, with the claim if there is one, and waits for its ack.
 void start_probe(membership_table& table, const tracked_member& target,
                  const std::optional<member>& claim, time_point now, actions& out) {
@@ -115,8 +96,13 @@
     if (target->m_member.m_state == member_state::alive) {
         set_entry(table, *target, member_state::suspect, now);
         queue_update(table, *target);
+        queue_for_others(table, *target);
         report_change(target->m_member.m_instance, out);
     }
+    if (is_remote(table, target->m_member)) {
+        table.m_doubted_centre = target->m_member.m_data_centre;
+        table.m_doubted_until = now + doubt_time;
+    }
     accuse(table, *target, suspicion_time(table), now, out);
 }
 
@@ -207,6 +193,7 @@
             if (judge_suspect(table, *tracked, now, out)) {
                 set_entry(table, *tracked, member_state::dead, now);
                 queue_update(table, *tracked);
+                queue_for_others(table, *tracked);
                 report_change(name, out);
             }
             continue;
@@ -230,7 +217,29 @@
     }
 }
 
+// A carrier probes the other data centres. After a failed probe it looks at that data centre more
+// closely for a while, since all of its members may be gone at once.
+void probe_remote(membership_table& table, time_point now, actions& out) {
+    if (now < table.m_next_remote_probe) {
+        return;
+    }
+    const milliseconds interval = lengthened(table, table.m_options.m_probe_interval);
+    table.m_next_remote_probe = now + interval;
+    if (!is_carrier(table)) {
+        return;
+    }
+    const bool doubted = now < table.m_doubted_until;
+    if (doubted) {
+        table.m_next_remote_probe = now + interval / doubt_probes_per_interval;
+    }
+    const std::string centre = doubted ? table.m_doubted_centre : std::string{};
+    if (const tracked_member* target = next_remote_target(table, centre)) {
+        start_probe(table, *target, std::nullopt, now, out);
+    }
+}
+
 void probe_next(membership_table& table, time_point now, actions& out) {
+    probe_remote(table, now, out);
     if (now < table.m_next_probe) {
         return;
     }
@@ -271,11 +280,13 @@
     const auto& members = table.m_members;
     auto at = members.upper_bound(table.m_restart_cursor);
     std::size_t pings = 0;
+    const bool carrier = is_carrier(table);
     for (std::size_t step = 0; step < std::min(restart_scan, members.size()); ++step, ++at) {
         at = at == members.end() ? members.begin() : at;
         const tracked_member& each = at->second;
         const bool lately = each.m_gone_since && now - *each.m_gone_since < restart_time;
-        if (lately && has_addresses(each.m_member) && !each.m_forgotten) {
+        if (lately && (carrier || !is_remote(table, each.m_member)) &&
+            has_addresses(each.m_member) && !each.m_forgotten) {
             table.m_restart_cursor = at->first;
             send_ping(table, each, 0, std::nullopt, out);
             if (++pings == restart_pings) {
@@ -293,12 +304,14 @@
     table.m_next_gone_ping = now + table.m_options.m_probe_interval * gone_ping_intervals;
     const auto& members = table.m_members;
     auto at = members.upper_bound(table.m_gone_cursor);
+    const bool carrier = is_carrier(table);
     for (std::size_t step = 0; step < std::min(gone_scan, members.size()); ++step, ++at) {
         if (at == members.end()) {
             at = members.begin();
         }
         const tracked_member& each = at->second;
-        if (each.m_member.m_state == member_state::dead && has_addresses(each.m_member)) {
+        if (each.m_member.m_state == member_state::dead && has_addresses(each.m_member) &&
+            (carrier || !is_remote(table, each.m_member))) {
             table.m_gone_cursor = at->first;
             send_ping(table, each, 0, std::nullopt, out);
             return;
--- a/src/decide/membership_rumours.cpp
+++ b/src/decide/membership_rumours.cpp
@@ -18,6 +18,11 @@
 // Packets sent for their header alone, one per gossip interval, after the own version or facts have
 // changed. About 2% of the members are missed by a rumour and learn of it from such a header.
 constexpr std::uint32_t hints_per_change = 8;
+// Rounds of such packets from each carrier to the other data centres.
+constexpr std::uint32_t remote_hints_per_change = 2;
+// Bytes per second and in one burst that a carrier may send to other data centres between probes.
+constexpr double remote_bytes_per_second = 3'000;
+constexpr double remote_byte_burst = 24'000;
 // Member rumours (leaving, refuted suspicions) forwarded at once, per second and in one burst. When
 // a data centre leaves, the rest travels by piggyback only and control stays within its bytes.
 constexpr double rumours_per_second = 4;
@@ -39,6 +44,8 @@
             std::min(reply_burst, table.m_reply_tokens + seconds * replies_per_second);
         table.m_gossip_bytes =
             std::min(gossip_byte_burst, table.m_gossip_bytes + seconds * gossip_bytes_per_second);
+        table.m_remote_bytes =
+            std::min(remote_byte_burst, table.m_remote_bytes + seconds * remote_bytes_per_second);
     }
 }
 
@@ -71,6 +78,7 @@
     table.m_rumour_tokens = rumour_burst;
     table.m_reply_tokens = reply_burst;
     table.m_gossip_bytes = gossip_byte_burst;
+    table.m_remote_bytes = remote_byte_burst;
 }
 
 bool take_token(membership_table& table, double& tokens, time_point now) {
@@ -82,7 +90,7 @@
     return true;
 }
 
-void send_rumour(membership_table& table, const packet& rumour, std::string_view except,
+void send_rumour(membership_table& table, const packet& rumour, reach to, std::string_view except,
                  time_point now, actions& out) {
     for (const tracked_member* each :
          pick_members(table, table.m_options.m_rumour_fanout, except)) {
@@ -91,13 +99,22 @@
         add_news(table, filler, now);
         send(each->m_member.m_udp, std::move(copy), out);
     }
+    if (to == reach::nearby) {
+        return;
+    }
+    for (const tracked_member* each : pick_remote_members(table)) {
+        packet copy = rumour;
+        packet_filler filler = start_filling(copy);
+        add_self(table, filler);
+        send(each->m_member.m_udp, std::move(copy), out);
+    }
 }
 
 void announce_self(membership_table& table, time_point now, actions& out) {
     table.m_announced = table.m_self;
     table.m_self_changed = now;
     queue_self(table);
-    send_rumour(table, make_packet(table, packet_kind::rumour, {}), {}, now, out);
+    send_rumour(table, make_packet(table, packet_kind::rumour, {}), reach::everyone, {}, now, out);
 }
 
 void gossip(membership_table& table, time_point now, actions& out) {
@@ -106,6 +123,7 @@
         table.m_hinted_version = table.m_held_version;
         table.m_hinted_digest = table.m_facts_digest;
         table.m_hints_left = hints_per_change;
+        table.m_remote_hints = remote_hints_per_change;
     }
     const bool news =
         !table.m_update_queue.empty() || table.m_self_sends_left > 0 || table.m_hints_left > 0;
@@ -129,6 +147,31 @@
     }
 }
 
+// The same packet goes to all other data centres, so that each gets every entry.
+void gossip_remote(membership_table& table, time_point now, actions& out) {
+    if (!is_carrier(table)) {
+        table.m_remote_hints = 0;
+        return;
+    }
+    const bool news = !table.m_remote_queue.empty() || table.m_remote_hints > 0;
+    if (now < table.m_next_remote_gossip || !news) {
+        return;
+    }
+    fill_tokens(table, now);
+    if (table.m_remote_bytes < static_cast<double>(max_packet_bytes)) {
+        return;
+    }
+    table.m_next_remote_gossip = now + table.m_options.m_probe_interval / 4;
+    table.m_remote_hints -= table.m_remote_hints > 0 ? 1 : 0;
+    packet news_packet = make_packet(table, packet_kind::rumour, {});
+    packet_filler filler = start_filling(news_packet);
+    add_remote_updates(table, filler);
+    for (const tracked_member* each : pick_remote_members(table)) {
+        table.m_remote_bytes -= static_cast<double>(filler.m_bytes);
+        send(each->m_member.m_udp, news_packet, out);
+    }
+}
+
 void forward_news(membership_table& table, const packet& received, std::vector<member> rumours,
                   time_point now, actions& out) {
     packet news = make_packet(table, packet_kind::rumour, {});
@@ -160,7 +203,7 @@
     for (member& each : rumours) {
         add_entry(filler, entry_to_send(each));
     }
-    send_rumour(table, news, received.m_sender, now, out);
+    send_rumour(table, news, reach::nearby, received.m_sender, now, out);
 }
 
 } // namespace swim
@@ -180,7 +223,8 @@
     }
     table.m_announced = table.m_self;
     if (urgent) {
-        send_rumour(table, make_packet(table, packet_kind::rumour, {}), {}, now, out);
+        send_rumour(table, make_packet(table, packet_kind::rumour, {}), reach::everyone, {}, now,
+                    out);
     }
     return out;
 }
@@ -204,7 +248,7 @@
     std::size_t bytes = empty;
     const auto flush = [&] {
         if (bytes > empty) {
-            send_rumour(table, rumour, {}, now, out);
+            send_rumour(table, rumour, reach::everyone, {}, now, out);
             rumour.m_suspensions.clear();
             rumour.m_records.clear();
             bytes = empty;
--- a/src/decide/membership_table.cpp
+++ b/src/decide/membership_table.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/hash.hpp"
+#include "decide/membership_groups.hpp"
 
 namespace caraway::swim {
 namespace {
@@ -35,13 +36,6 @@
     return hash_bytes(value.m_instance, hash_bytes({bytes.data(), bytes.size()}));
 }
 
-void add_to_probe_order(membership_table& table, tracked_member& tracked) {
-    if (!tracked.m_in_probe_order) {
-        tracked.m_in_probe_order = true;
-        table.m_probe_order.push_back(tracked.m_member.m_instance);
-    }
-}
-
 // The wall clock's time by the clock of the events, from the own start.
 std::uint64_t wall_ms(const membership_table& table, time_point now) {
     return table.m_started_ms +
@@ -88,7 +82,7 @@
     if (is_live(state)) {
         tracked.m_gone_since.reset();
         tracked.m_forgotten = false;
-        add_to_probe_order(table, tracked);
+        add_to_group(table, tracked);
     }
     tracked.m_accused = false;
     if (state == member_state::suspect) {
@@ -172,6 +166,9 @@
     tracked.m_counted_dead = state == member_state::dead && !tracked.m_forgotten;
     table.m_dead += (tracked.m_counted_dead ? 1U : 0U) - (was_dead ? 1U : 0U);
     toggle_bucket(table, tracked);
+    if (tracked.m_member.m_data_centre == table.m_self.m_data_centre) {
+        table.m_group_changed = true;
+    }
     const bool live = is_live(state);
     if (live && !was_live) {
         ++table.m_live;
@@ -187,38 +184,6 @@
     out.push_back(std::move(action));
 }
 
-std::vector<const tracked_member*> pick_members(membership_table& table, std::size_t count,
-                                                std::string_view except) {
-    std::vector<const tracked_member*> picked;
-    std::vector<std::string>& order = table.m_probe_order;
-    const auto take = [&](const std::string& name) {
-        const auto found = table.m_members.find(name);
-        if (name == except || found == table.m_members.end() ||
-            !is_live(found->second.m_member.m_state) ||
-            std::find(picked.begin(), picked.end(), &found->second) != picked.end()) {
-            return;
-        }
-        picked.push_back(&found->second);
-    };
-    // A short order is walked from a random place in random order; a long one is sampled, with some
-    // tries to spare for entries of members that are gone.
-    if (order.size() <= 4 * count) {
-        std::vector<std::size_t> places(order.size());
-        for (std::size_t i = 0; i < places.size(); ++i) {
-            places[i] = i;
-        }
-        for (std::size_t i = 0; i < places.size() && picked.size() < count; ++i) {
-            std::swap(places[i], places[i + table.m_random.below(places.size() - i)]);
-            take(order[places[i]]);
-        }
-        return picked;
-    }
-    for (std::size_t tries = 0; tries < 8 * count + 16 && picked.size() < count; ++tries) {
-        take(order[table.m_random.below(order.size())]);
-    }
-    return picked;
-}
-
 } // namespace caraway::swim
 
 namespace caraway {
--- a/src/decide/membership_table.hpp
+++ b/src/decide/membership_table.hpp
@@ -54,8 +54,4 @@
 // Tells the adapter that the entry of the instance has changed.
 void report_change(std::string_view instance, actions& out);
 
-// Picks up to count distinct live members at random, excluding one.
-std::vector<const tracked_member*> pick_members(membership_table& table, std::size_t count,
-                                                std::string_view except);
-
 } // namespace caraway::swim
--- a/src/node/gossip.cpp
+++ b/src/node/gossip.cpp
@@ -10,8 +10,6 @@
 namespace caraway {
 namespace {
 
-// Pause between comparisons of member tables with a random member.
-constexpr milliseconds digest_interval{30'000};
 bulk_reply serve_digest(control& state, const members_digest_request& request) {
     members_digest_reply reply;
     const std::vector<std::uint64_t> own = member_bucket_hashes(state.m_members);
@@ -108,12 +106,15 @@
 
 } // namespace
 
-void compare_tables(control& state) {
-    const std::vector<const member*> live = live_members(state.m_members);
-    if (live.empty()) {
+namespace {
+
+// Compares member tables with a member and merges what differs, both ways.
+void compare_tables(control& state, const std::string& instance) {
+    const tracked_member* with = find_member(state.m_members, instance);
+    if (with == nullptr) {
         return;
     }
-    const ip_endpoint to = live[state.m_random.below(live.size())]->m_bulk;
+    const ip_endpoint to = with->m_member.m_bulk;
     const members_digest_request request{state.m_settings.m_instance,
                                          member_bucket_hashes(state.m_members)};
     send_bulk(state, to, request, [&state, to](const std::optional<bulk_reply>& reply) {
@@ -127,6 +128,8 @@
     });
 }
 
+} // namespace
+
 void perform(control& state, std::span<const membership_action> actions) {
     for (const membership_action& action : actions) {
         switch (action.m_kind) {
@@ -146,6 +149,9 @@
         case membership_action::kind::suspension_heard:
             learn_facts(state, action.m_packet.m_suspensions, action.m_packet.m_records, true);
             break;
+        case membership_action::kind::compare_tables:
+            compare_tables(state, action.m_instance);
+            break;
         }
     }
 }
@@ -190,12 +196,6 @@
 
 void tick_gossip(control& state, time_point now) {
     perform(state, membership_tick(state.m_members, now));
-    if (now >= state.m_next_digest) {
-        state.m_next_digest =
-            now + digest_interval / 2 +
-            milliseconds{state.m_random.below(static_cast<std::uint64_t>(digest_interval.count()))};
-        compare_tables(state);
-    }
 }
 
 facts_message all_facts(const control& state) {
