Bound the entry points by slots; one watcher in each of many data centres

A node looks at its free slot again after up to 0.5 s and fills it if nobody else has; slots that name nobody known at two discoveries in a row get a live member. Joining goes through the own data centre where it has entry points enough. Nodes of a mesh that starts for the first time wait 1.5 s for those that read the store.

--- a/bench/watch_baseline.cpp
+++ b/bench/watch_baseline.cpp
@@ -140,7 +140,7 @@
     const std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
 
     measurement all;
-    const auto count = [&all](std::string_view, error_kind kind, std::uint64_t sent,
+    const auto count = [&all](const store_command&, error_kind kind, std::uint64_t sent,
                               std::uint64_t received) {
         ++all.m_totals.m_calls;
         all.m_totals.m_bytes += sent + received;
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -18,6 +18,7 @@
 #include "config/settings.hpp"
 #include "decide/acceptance.hpp"
 #include "decide/distribution.hpp"
+#include "decide/entry_points.hpp"
 #include "decide/facts.hpp"
 #include "decide/lease.hpp"
 #include "decide/membership.hpp"
@@ -91,9 +92,9 @@
     time_point m_behind_since; // a newer text than the one held is known since then
     time_point m_retry_at;
     time_point m_next_list;
-    bool m_entry_written = false;
-    bool m_entry_busy = false;
-    time_point m_entry_retry_at;
+    bool m_entry_written = false;               // the slot in the store names somebody
+    std::optional<time_point> m_entry_check_at; // the free slot is looked at again then
+    std::vector<std::string> m_unknown_slots; // that the last discovery found to name nobody known
     bool m_records_read = false;
     bool m_records_busy = false;
     time_point m_records_retry_at;
@@ -157,8 +158,9 @@
 struct join_state {
     bool m_store_busy = false;
     bool m_nobody_found = false;             // the store named no member to ask, and none was known
-    std::vector<ip_endpoint> m_entry_points; // that the store named last
+    std::vector<entry_point> m_entry_points; // that the store named last
     time_point m_listed_at;                  // when it did
+    bool m_first_start = false;              // it named hardly anybody at first
     time_point m_next_discovery;             // when a watcher looks for members unknown here
     std::set<std::string> m_pending;         // formatted addresses asked and not answered
     time_point m_first_attempt;
@@ -217,7 +219,6 @@
     std::set<std::string> m_facts_fetching;
     std::uint64_t m_joins_in_second = 0;
     time_point m_join_second;
-    time_point m_next_digest;
     time_point m_next_evidence;
     time_point m_next_gauges;
     time_point m_next_byte_line;
@@ -243,7 +244,7 @@
 // Sends a bulk request; the callback gets nothing when it failed or the reply was refused.
 void send_bulk(control& state, const ip_endpoint& to, const bulk_request& request,
                std::function<void(std::optional<bulk_reply>)> done);
-// Drives the membership; compares member tables now and then.
+// Drives the membership.
 void tick_gossip(control& state, time_point now);
 // All facts known here.
 facts_message all_facts(const control& state);
@@ -266,9 +267,6 @@
 // Answers another node's request to join.
 join_reply serve_join(control& state, const join_request& request);
 
-// Compares member tables with a random member and merges what differs, both ways.
-void compare_tables(control& state);
-
 // resync.cpp: the way back after a pause.
 
 // Notices a pause of this process, and keeps traffic refused until a member told what changed
@@ -291,6 +289,8 @@
 
 // operator_watch.cpp: the operators' items.
 
+// Names a member in a slot of the own data centre, for those that join.
+void write_entry(control& state, const std::string& slot, const ip_endpoint& address);
 // Keeps the items read and watched, and names this node to those that join.
 void tick_operator_watch(control& state, time_point now);
 // The text that holds all items, and the items of such a text; nothing when it is malformed.
--- a/src/node/join.cpp
+++ b/src/node/join.cpp
@@ -11,6 +11,8 @@
 // Members asked when joining. Three answers are what the restart rule wants while the store is
 // down.
 constexpr std::size_t join_targets = 3;
+// Attempts with the entry points of the own data centre alone, where it has many.
+constexpr std::uint32_t near_attempts = 2;
 // First pause after a failed attempt to join; doubled up to the setting.
 constexpr milliseconds first_join_backoff{100};
 // Entry points that the store named are asked for this long before it is read again: when all nodes
@@ -18,8 +20,8 @@
 constexpr milliseconds entry_points_lifetime{2'000};
 // When a whole deployment starts for the first time, the others' entries are there after this time.
 constexpr milliseconds first_entries_time{500};
-// A node compares its member table with others' at this interval until this long after its start:
-// when many start together, those that answer first know only a few of the others.
+// A node asks entry points of members unknown to it at this interval until this long after its
+// start: when many start together, those that answer first know only a few of the others.
 constexpr milliseconds complete_interval{500};
 constexpr milliseconds complete_time{6'000};
 // Members that watch the store look there for entry points of members unknown here, first this long
@@ -91,52 +93,88 @@
     return !known.empty();
 }
 
+// A store that names fewer belongs to a mesh that starts for the first time.
+constexpr std::size_t few_entry_points = 2;
+
+// Nodes that start together look at a free slot for entry points again within this time, each at
+// another moment, so that the first one fills it and the others find it filled.
+constexpr milliseconds slot_spread{500};
+
 // Nodes that start together begin to read the store within this time for each entry point: the
 // first ones soon, and not so many of them that those of a large fleet don't wait for what these
 // have read.
 constexpr milliseconds start_spread_per_entry{6};
 
-// Takes over the entry points of the others that the store named.
+// Reads an entry point from its key, PREFIX DATA_CENTRE/SLOT, and value.
+std::optional<entry_point> read_entry_point(const store_entry& entry) {
+    std::string_view key = entry.m_key;
+    key.remove_prefix(std::min(entry_prefix.size(), key.size()));
+    const std::size_t slash = key.find('/');
+    const auto address = parse_endpoint(entry.m_value);
+    if (!address || slash == std::string_view::npos) {
+        return std::nullopt;
+    }
+    return entry_point{std::string(key.substr(0, slash)), std::string(key.substr(slash + 1)),
+                       *address};
+}
+
+// Takes over the entry points that the store named, the own one left out.
 void take_entry_points(control& state, std::span<const store_entry> entries) {
     join_state& join = state.m_join;
-    const ip_endpoint& own = state.m_settings.m_announce_bulk;
+    operator_watch& watch = state.m_operator;
+    const bool first_list = join.m_listed_at == time_point{};
+    const std::string own_slot = entry_slot(state.m_settings.m_instance);
     join.m_listed_at = state.now();
     join.m_entry_points.clear();
     const auto spread = static_cast<std::uint64_t>(start_spread_per_entry.count()) * entries.size();
-    operator_watch& watch = state.m_operator;
     watch.m_begin_at =
         std::min(watch.m_begin_at, state.now() + milliseconds(state.m_random.below(spread + 1)));
     for (const store_entry& entry : entries) {
-        state.m_operator.m_entry_written |= entry.m_value == format_endpoint(own);
-        const auto address = parse_endpoint(entry.m_value);
-        if (address && *address != own) {
-            join.m_entry_points.push_back(*address);
+        auto named = read_entry_point(entry);
+        if (!named) {
+            continue;
+        }
+        watch.m_entry_written |=
+            named->m_data_centre == state.m_settings.m_data_centre && named->m_slot == own_slot;
+        if (named->m_address != state.m_settings.m_announce_bulk) {
+            join.m_entry_points.push_back(std::move(*named));
         }
     }
+    join.m_first_start |= first_list && join.m_entry_points.size() < few_entry_points;
+    if (state.reads_operator_items() && first_list && !watch.m_entry_written) {
+        watch.m_entry_check_at =
+            state.now() +
+            milliseconds(state.m_random.below(static_cast<std::uint64_t>(slot_spread.count())));
+    }
 }
 
 // Asks some of the known members and entry points.
 void ask_entry_points(control& state) {
     std::vector<ip_endpoint> targets = known_targets(state);
-    const auto& named = state.m_join.m_entry_points;
+    const join_state& join = state.m_join;
+    const bool near_ones_failed = join.m_failures > near_attempts;
+    const std::string_view near = near_ones_failed ? "" : state.m_settings.m_data_centre;
+    const std::vector<ip_endpoint> named = near_entry_points(join.m_entry_points, near);
     targets.insert(targets.end(), named.begin(), named.end());
     join_through_some(state, std::move(targets));
 }
 
-// Asks some of the entry points that are no known members' addresses. They may belong to nodes that
-// joined each other but nobody known here, or be gone.
+// Asks some of the entry points that are no known members' addresses.
 void ask_unknown_entry_points(control& state) {
-    std::set<std::string> known;
-    for (const member* each : live_members(state.m_members)) {
-        known.insert(format_endpoint(each->m_bulk));
-    }
-    std::vector<ip_endpoint> targets;
-    for (const ip_endpoint& named : state.m_join.m_entry_points) {
-        if (!known.contains(format_endpoint(named))) {
-            targets.push_back(named);
+    join_through_some(state, unknown_entry_points(state.m_members, state.m_join.m_entry_points));
+}
+
+// Names a live member in each slot that has named nobody known at two discoveries in a row, as
+// after the loss of an instance.
+void replace_unknown_entries(control& state) {
+    operator_watch& watch = state.m_operator;
+    const std::vector<std::string> before = std::move(watch.m_unknown_slots);
+    watch.m_unknown_slots = unknown_slots(state.m_members, state.m_join.m_entry_points);
+    for (const std::string& slot : watch.m_unknown_slots) {
+        if (std::find(before.begin(), before.end(), slot) != before.end()) {
+            write_entry(state, slot, entry_for_slot(state.m_members, slot).m_bulk);
         }
     }
-    join_through_some(state, std::move(targets));
 }
 
 // Looks in the store for members that this node doesn't know.
@@ -150,15 +188,35 @@
     }
     join.m_next_discovery = now + discovery_interval;
     join.m_store_busy = true;
-    state.m_store->list(entry_prefix, [&state](const store_reply& reply) {
+    state.m_store->list_stale(entry_prefix, [&state](const store_reply& reply) {
         state.m_join.m_store_busy = false;
         if (reply.m_kind == error_kind::none) {
             take_entry_points(state, reply.m_entries);
             ask_unknown_entry_points(state);
+            replace_unknown_entries(state);
         }
     });
 }
 
+// Looks at the own slot again, and fills it if it is still free.
+void check_entry_slot(control& state) {
+    state.m_operator.m_entry_check_at.reset();
+    state.m_join.m_store_busy = true;
+    state.m_store->list(entry_prefix, [&state](const store_reply& reply) {
+        state.m_join.m_store_busy = false;
+        if (reply.m_kind != error_kind::none) {
+            state.m_operator.m_entry_check_at = state.now() + store_retry_pause;
+            return;
+        }
+        take_entry_points(state, reply.m_entries);
+        if (!state.m_operator.m_entry_written) {
+            write_entry(state, entry_slot(state.m_settings.m_instance),
+                        state.m_settings.m_announce_bulk);
+        }
+        ask_entry_points(state);
+    });
+}
+
 // Asks some of the known members and the entry points, as soon as the store has named these. With a
 // pause in between, as after a failed attempt, a restarted node missed 18 s while most members were
 // cut off. Without the store the known members alone are asked; where no lease keeps the entry
@@ -172,8 +230,11 @@
         ask_entry_points(state);
         return;
     }
+    if (state.m_operator.m_entry_check_at) {
+        return; // lists the entry points as well
+    }
     join.m_store_busy = true;
-    state.m_store->list(entry_prefix, [&state](const store_reply& reply) {
+    const auto listed_entries = [&state](const store_reply& reply) {
         join_state& listed = state.m_join;
         listed.m_store_busy = false;
         if (reply.m_kind == error_kind::none) {
@@ -186,7 +247,13 @@
                 std::max(listed.m_next_attempt, state.now() + first_entries_time);
         }
         ask_entry_points(state);
-    });
+    };
+    // The entry points hardly change, so the first list may be some seconds old.
+    if (state.reads_operator_items() && join.m_listed_at == time_point{}) {
+        state.m_store->list_stale(entry_prefix, listed_entries);
+    } else {
+        state.m_store->list(entry_prefix, listed_entries);
+    }
 }
 
 // Reads the accepted record, which sets the floor. Its text comes from members; only a node that
@@ -277,6 +344,11 @@
     join_state& join = state.m_join;
     const bool alone = state.m_members.m_live == 0;
     const bool joined = join.m_done && !alone && state.m_distribution.m_ready;
+    const auto& check_at = state.m_operator.m_entry_check_at;
+    if (state.reads_operator_items() && !state.m_leaving && !join.m_store_busy && check_at &&
+        now >= *check_at) {
+        check_entry_slot(state);
+    }
     if (state.m_leaving || now < join.m_next_attempt) {
         return;
     }
@@ -286,7 +358,6 @@
         }
         if (now - join.m_first_attempt < complete_time && state.reads_operator_items()) {
             join.m_next_attempt = now + complete_interval;
-            compare_tables(state);
             ask_unknown_entry_points(state);
         }
         return;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -28,6 +28,10 @@
 // Pause between the log lines of the bytes moved: a process that is killed has told most of them.
 constexpr milliseconds byte_line_interval{10'000};
 
+// Nodes on a platform that start together join through any few of the others, so that their tables
+// have to be completed first.
+constexpr milliseconds member_complete_time{6'000};
+
 std::uint64_t choose_seed(const node_settings& settings) {
     if (settings.m_seed != 0) {
         return settings.m_seed;
@@ -69,6 +73,9 @@
     membership_options options;
     options.m_probe_interval = m_settings.m_probe_interval;
     options.m_probe_timeout = m_settings.m_probe_timeout;
+    if (reads_operator_items()) {
+        options.m_complete_time = member_complete_time;
+    }
     m_members = make_membership(make_self(m_settings, clock), options, m_random(), clock.now());
     m_distribution = begin_distribution(m_settings, m_random(), clock.now());
     for (int i = 0; i < readers_per_data_centre; ++i) {
@@ -166,16 +173,45 @@
     }
 
 private:
+    // The operation with what it is about, for the log line of the calls made.
+    std::string store_call_label(const store_command& command) const {
+        const auto about = [this, &command]() -> std::string_view {
+            const adapter& surroundings = m_state.m_adapter;
+            if (command.m_key.starts_with(entry_prefix)) {
+                return "entry_points";
+            }
+            if (!surroundings.m_operator_prefix.empty() &&
+                command.m_key.starts_with(surroundings.m_operator_prefix)) {
+                return "operator_items";
+            }
+            if (!surroundings.m_move_prefix.empty() &&
+                command.m_key.starts_with(surroundings.m_move_prefix)) {
+                return "moves";
+            }
+            return "other";
+        };
+        return std::string(store_operation_name(command.m_operation)).append(".").append(about());
+    }
+
+    void log_store_calls() const {
+        std::vector<log_field> fields;
+        for (const auto& [label, count] : m_store_calls) {
+            fields.emplace_back(label, count);
+        }
+        write_log_line(format_event(log_level::info, "store_calls", fields));
+    }
+
     void open_store() {
-        node_metrics& metrics = *m_state.m_metrics;
-        m_state.m_store =
-            store_client::create(m_context, m_state.m_settings.m_store, m_state.m_adapter.m_store,
-                                 m_state.m_settings.m_store_timeout,
-                                 [&metrics](std::string_view operation, error_kind result,
-                                            std::uint64_t sent, std::uint64_t received) {
-                                     metrics.count_store_call(operation, result);
-                                     metrics.count_control_bytes("store", sent, received);
-                                 });
+        m_state.m_store = store_client::create(
+            m_context, m_state.m_settings.m_store, m_state.m_adapter.m_store,
+            m_state.m_settings.m_store_timeout,
+            [this](const store_command& command, error_kind result, std::uint64_t sent,
+                   std::uint64_t received) {
+                node_metrics& metrics = *m_state.m_metrics;
+                metrics.count_store_call(store_operation_name(command.m_operation), result);
+                metrics.count_control_bytes("store", sent, received);
+                ++m_store_calls[store_call_label(command)];
+            });
     }
 
     bool open_peers(error& reason) {
@@ -249,6 +285,7 @@
         if (now >= m_state.m_next_byte_line) {
             m_state.m_next_byte_line = now + byte_line_interval;
             log_bytes(m_state.m_metrics->bytes());
+            log_store_calls();
         }
         std::map<member_state, std::uint64_t> counts;
         for (const auto& [name, tracked] : m_state.m_members.m_members) {
@@ -283,6 +320,7 @@
             return false;
         }
         log_bytes(m_state.m_metrics->bytes());
+        log_store_calls();
         log_event(log_level::info, "drained", {{"calls_cut", static_cast<std::uint64_t>(left)}});
         flush_recording();
         batch_log(false);
@@ -297,9 +335,10 @@
     std::unique_ptr<admin_server> m_reports;
     boost::asio::steady_timer m_timer;
     time_point m_next_flush;
-    std::optional<time_point> m_stop_at; // set by shut_down: the drain timeout
-    time_point m_stop_least;             // the process stays up until then
-    time_point m_refuse_at;              // new work is refused from then on
+    std::map<std::string, std::uint64_t> m_store_calls; // by operation and what it is about
+    std::optional<time_point> m_stop_at;                // set by shut_down: the drain timeout
+    time_point m_stop_least;                            // the process stays up until then
+    time_point m_refuse_at;                             // new work is refused from then on
 };
 
 std::unique_ptr<node> node::start(boost::asio::io_context& context, const node_settings& settings,
--- a/src/node/operator_watch.cpp
+++ b/src/node/operator_watch.cpp
@@ -21,9 +21,6 @@
 // so that a fleet doesn't call in step.
 constexpr milliseconds retry_pause{100};
 constexpr milliseconds longest_retry_pause{800};
-// Members of a data centre that watch: more than one, so that a change arrives while one of them
-// fails.
-constexpr std::size_t watchers_per_data_centre = 2;
 // How often the watchers are worked out anew.
 constexpr milliseconds candidate_interval{500};
 // Failed calls after which a watcher tells the others, so that the next ones watch.
@@ -143,22 +140,6 @@
     state.m_store->watch(state.m_adapter.m_operator_prefix, watch.m_after, watch_wait, done);
 }
 
-// Names this node in the store, for those that join. Without a lease: an entry that outlives its
-// node costs a joining one an attempt, a lease would cost each node a call every few seconds.
-void write_entry(control& state) {
-    operator_watch& watch = state.m_operator;
-    watch.m_entry_busy = true;
-    const std::string key = std::string(entry_prefix) + state.m_settings.m_data_centre + "/" +
-                            state.m_settings.m_instance;
-    state.m_store->put(key, format_endpoint(state.m_settings.m_announce_bulk), std::nullopt, {},
-                       [&state](const store_reply& reply) {
-                           operator_watch& written = state.m_operator;
-                           written.m_entry_busy = false;
-                           written.m_entry_written = reply.m_kind == error_kind::none;
-                           written.m_entry_retry_at = state.now() + store_retry_pause;
-                       });
-}
-
 // Reads the moves' records once, so that a node that starts after a move's end knows how it ended.
 void read_records(control& state) {
     operator_watch& watch = state.m_operator;
@@ -190,11 +171,16 @@
 // A starting node that doesn't watch asks the store for the configuration after this time, sooner
 // where there are few others to read it: in a small mesh a read each costs the store little.
 constexpr milliseconds members_first_time{700};
-constexpr milliseconds members_first_time_per_entry{10};
+constexpr milliseconds members_first_time_per_entry{15};
+// The same where the store names nobody yet: all others start, too, and few of them need to read.
+constexpr milliseconds first_start_time{1'500};
 
 milliseconds members_first(const control& state) {
     const auto others = static_cast<std::int64_t>(state.m_join.m_entry_points.size());
     const bool listed = state.m_join.m_listed_at != time_point{};
+    if (listed && state.m_join.m_first_start) {
+        return first_start_time;
+    }
     return listed ? std::min(members_first_time, others * members_first_time_per_entry)
                   : members_first_time;
 }
@@ -219,10 +205,10 @@
     const auto reaching = [&beside](const member& m) { return beside(m) && !m.m_store_lost; };
     // A node that knows nobody yet would take itself for the first of its data centre.
     const bool settled = state.m_join.m_done || now >= watch.m_begin_at + alone_time;
+    const std::size_t watchers = watchers_in_each(state.m_members.m_groups.size());
     const bool candidate =
-        settled &&
-        (is_candidate(state, role, watchers_per_data_centre, beside) ||
-         (!self.m_store_lost && is_candidate(state, role, watchers_per_data_centre, reaching)));
+        settled && (is_candidate(state, role, watchers, beside) ||
+                    (!self.m_store_lost && is_candidate(state, role, watchers, reaching)));
     if (candidate != watch.m_candidate) {
         watch.m_candidate = candidate;
         log_event(log_level::info, candidate ? "store_watch_begun" : "store_watch_ended", {});
@@ -278,19 +264,28 @@
     return items;
 }
 
+// Without a lease: an entry that outlives its node costs a joining one an attempt, a lease would
+// cost a call every few seconds.
+void write_entry(control& state, const std::string& slot, const ip_endpoint& address) {
+    const std::string key = std::string(entry_prefix) + state.m_settings.m_data_centre + "/" + slot;
+    state.m_store->put(key, format_endpoint(address), std::nullopt, {},
+                       [&state, slot](const store_reply& reply) {
+                           const bool written = reply.m_kind == error_kind::none;
+                           log_event(log_level::info, "entry_point_written",
+                                     {{"slot", slot}, {"written", written}});
+                           state.m_operator.m_entry_written |= written;
+                           if (!state.m_operator.m_entry_written) {
+                               state.m_operator.m_entry_check_at = state.now() + store_retry_pause;
+                           }
+                       });
+}
+
 void tick_operator_watch(control& state, time_point now) {
     operator_watch& watch = state.m_operator;
     if (watch.m_begin_at == time_point{}) {
         watch.m_begin_at = now + milliseconds(state.m_random.below(start_spread.count()));
     }
     refresh_watcher(state, now);
-    // The list that is read to join shows whether an entry of an earlier start is still there. It
-    // is written before anything else, so that others that start together find this node.
-    const bool entry_known = watch.m_candidate || state.m_join.m_listed_at != time_point{};
-    if (entry_known && !watch.m_entry_written && !watch.m_entry_busy &&
-        now >= watch.m_entry_retry_at) {
-        write_entry(state);
-    }
     if (now < watch.m_begin_at) {
         return;
     }
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -76,8 +76,8 @@
                 }
                 const store_reply reply = make_reply(self->m_codec, call.m_command, finished);
                 if (self->m_observer) {
-                    self->m_observer(store_operation_name(call.m_command.m_operation), reply.m_kind,
-                                     finished.m_sent, finished.m_received);
+                    self->m_observer(call.m_command, reply.m_kind, finished.m_sent,
+                                     finished.m_received);
                 }
                 call.m_done(reply);
             },
@@ -239,10 +239,11 @@
     m_impl->start({std::move(command), timeout, std::move(done)});
 }
 
-void store_client::run_list(store_operation operation, std::string_view prefix,
+void store_client::run_list(store_operation operation, std::string_view prefix, bool may_be_stale,
                             store_callback done) {
     store_command command;
     command.m_operation = operation;
+    command.m_may_be_stale = may_be_stale;
     command.m_key = prefix;
     const auto start = [implementation = m_impl](store_call call) {
         implementation->start(std::move(call));
@@ -289,7 +290,11 @@
 }
 
 void store_client::list(std::string_view prefix, store_callback done) {
-    run_list(store_operation::list, prefix, std::move(done));
+    run_list(store_operation::list, prefix, false, std::move(done));
+}
+
+void store_client::list_stale(std::string_view prefix, store_callback done) {
+    run_list(store_operation::list, prefix, true, std::move(done));
 }
 
 void store_client::watch(std::string_view prefix, std::uint64_t after, milliseconds wait,
@@ -298,7 +303,7 @@
 }
 
 void store_client::list_keys(std::string_view prefix, store_callback done) {
-    run_list(store_operation::list_keys, prefix, std::move(done));
+    run_list(store_operation::list_keys, prefix, false, std::move(done));
 }
 
 void store_client::watch_keys(std::string_view prefix, std::uint64_t after, milliseconds wait,
--- a/src/store/store_client.hpp
+++ b/src/store/store_client.hpp
@@ -22,9 +22,9 @@
 namespace caraway {
 
 using store_callback = std::function<void(const store_reply&)>;
-// Told of every finished call: operation name, result, bytes sent, bytes received.
+// Told of every finished call: the command, its result, bytes sent, bytes received.
 using store_observer =
-    std::function<void(std::string_view, error_kind, std::uint64_t, std::uint64_t)>;
+    std::function<void(const store_command&, error_kind, std::uint64_t, std::uint64_t)>;
 
 // A client that spreads calls over a few persistent connections, opened when needed. After a
 // connection failure the next call tries the next of the service's addresses.
@@ -48,6 +48,8 @@
     void remove(std::string_view key, std::optional<std::uint64_t> if_revision,
                 store_callback done);
     void list(std::string_view prefix, store_callback done);
+    // The same where an answer that is some seconds old will do, which costs the service less.
+    void list_stale(std::string_view prefix, store_callback done);
     // Waits up to wait for a change below the prefix after a store revision. An empty reply with
     // the same revision means that nothing changed.
     void watch(std::string_view prefix, std::uint64_t after, milliseconds wait,
@@ -64,7 +66,8 @@
     class impl;
     explicit store_client(std::shared_ptr<impl> implementation);
     void run(store_command command, milliseconds timeout, store_callback done);
-    void run_list(store_operation operation, std::string_view prefix, store_callback done);
+    void run_list(store_operation operation, std::string_view prefix, bool may_be_stale,
+                  store_callback done);
     void run_watch(store_operation operation, std::string_view prefix, std::uint64_t after,
                    milliseconds wait, store_callback done);
     std::shared_ptr<impl> m_impl; // calls under way keep it alive until they end
--- a/src/store/store_codec.hpp
+++ b/src/store/store_codec.hpp
@@ -65,6 +65,7 @@
     std::optional<std::uint64_t> m_if_revision;
     std::string m_lease;          // put: attached to it; renew, end: which one
     std::string m_after_key;      // list: begins behind this key
+    bool m_may_be_stale = false;  // list: a replica's answer, some seconds old, will do
     std::uint64_t m_revision = 0; // watch: changes after this one
     milliseconds m_wait{0};       // watch
     milliseconds m_period{0};     // create_lease
