--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -43,9 +43,9 @@
 constexpr std::array<std::string_view, 6> peers_keys{
     "seeds",         "probe_interval",   "probe_timeout",
     "fetch_timeout", "join_backoff_max", "joins_per_second"};
-constexpr std::array<std::string_view, 7> traffic_keys{
-    "threads",     "max_connections",      "max_body_bytes", "max_header_bytes",
-    "behind_wait", "retry_budget_percent", "retry_burst"};
+constexpr std::array<std::string_view, 8> traffic_keys{
+    "threads",          "max_connections", "max_body_bytes",       "max_answer_bytes",
+    "max_header_bytes", "behind_wait",     "retry_budget_percent", "retry_burst"};
 constexpr std::array<std::string_view, 3> results_keys{"retention", "entries", "bytes"};
 constexpr std::array<std::string_view, 2> shutdown_keys{"drain_timeout", "announce_time"};
 constexpr std::array<std::string_view, 3> log_keys{"trace_spans", "record_lines", "flush_interval"};
@@ -179,6 +179,9 @@
     reader.read_integer("max_connections", optional, 1U, 100'000U, settings.m_max_connections);
     reader.read_integer("max_body_bytes", optional, 1U << 10U, 64U << 20U,
                         settings.m_max_body_bytes);
+    settings.m_max_answer_bytes = settings.m_max_body_bytes;
+    reader.read_integer("max_answer_bytes", optional, 1U << 10U, 64U << 20U,
+                        settings.m_max_answer_bytes);
     reader.read_integer("max_header_bytes", optional, 1U << 10U, 1U << 20U,
                         settings.m_max_header_bytes);
     reader.read_duration("behind_wait", optional, milliseconds(0), milliseconds(10'000),
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -79,6 +79,9 @@
     std::uint32_t m_threads = 2;
     std::uint32_t m_max_connections = 1'000;
     std::uint32_t m_max_body_bytes = 1U << 20U;
+    // Of an answer, which a node holds whole: a server that never ends one must not cost more than
+    // this for each of its slots.
+    std::uint32_t m_max_answer_bytes = 1U << 20U;
     std::uint32_t m_max_header_bytes = 16U << 10U;
     milliseconds m_behind_wait{250};
     std::uint32_t m_retry_budget_percent = 10;
--- a/src/traffic/connection_pool.cpp
+++ b/src/traffic/connection_pool.cpp
@@ -22,6 +22,8 @@
 constexpr double idle_time_share = 0.6;
 // Answers to earlier requests that are dropped before the one that is waited for.
 constexpr int max_foreign_answers = 2;
+// Interim answers before the final one; a server that sends them without end is given up.
+constexpr int max_interim_answers = 16;
 // Bytes read at once beyond the header limit.
 constexpr std::size_t read_ahead_bytes = 64U << 10U;
 
@@ -217,6 +219,7 @@
                                       error& reason) {
     used.m_reusable = false;
     int foreign = 0;
+    int interim = 0;
     const call_control::outgoing_guard guard(control, used.m_socket);
     error_code write_failed;
     http::serializer<true, http::string_body> serializer(request);
@@ -243,7 +246,11 @@
                         "read the answer: " + read_failed.message());
         }
         if (parser.get().result_int() / 100 == 1) {
-            continue; // an interim answer; the final one follows
+            if (++interim > max_interim_answers) {
+                return fail(reason, error_kind::connection_cut,
+                            "too many interim answers came before the final one");
+            }
+            continue;
         }
         if (belongs && !belongs(parser.get())) {
             if (++foreign > max_foreign_answers || !parser.keep_alive()) {
--- a/src/traffic/traffic_context.hpp
+++ b/src/traffic/traffic_context.hpp
@@ -66,7 +66,7 @@
     std::unordered_map<std::string, caller_history> m_callers; // by host and path of the route
 
     exchange_limits limits() const {
-        return {m_settings.m_max_header_bytes, m_settings.m_max_body_bytes};
+        return {m_settings.m_max_header_bytes, m_settings.m_max_answer_bytes};
     }
     // True when the control thread has not confirmed the snapshot for too long.
     bool snapshot_is_stale() const {
--- a/tests/traffic_fixture.hpp
+++ b/tests/traffic_fixture.hpp
@@ -59,6 +59,7 @@
     int runs() const { return m_runs; }
     std::size_t closed_while_slow() const { return m_closed_while_slow; }
     std::size_t running_slow() const { return m_running_slow; }
+    std::size_t endless_bytes() const { return m_endless_bytes; }
     // The action of GET /healthz; an echo if not set.
     void set_health(const std::string& action) { m_health = action; }
     std::string last_headers() {
@@ -107,6 +108,33 @@
         socket.shutdown(tcp::socket::shutdown_both, failed);
         socket.close(failed);
     }
+    // Writes bytes that never become a whole answer until the other side closes.
+    bool write_endlessly(tcp::socket& socket, const std::string& action) {
+        std::string start = "HTTP/1.1 200 OK\r\n";
+        std::string more = "x-more: 0123456789abcdef\r\n";
+        if (action == "endless-body") {
+            start += "Transfer-Encoding: chunked\r\n\r\n";
+            more = "400\r\n" + std::string(0x400, 'x') + "\r\n";
+        } else if (action == "endless-body-without-length") {
+            start += "\r\n";
+        } else if (action == "endless-interim") {
+            start.clear();
+            more = "HTTP/1.1 102 Processing\r\n\r\n";
+        } else if (action == "endless-noise") {
+            start.clear();
+            more = std::string(1'000, '\x01');
+        }
+        error_code failed;
+        asio::write(socket, asio::buffer(start), failed);
+        std::string block;
+        while (block.size() < 16'000) {
+            block += more;
+        }
+        while (!failed && !m_stopped) {
+            m_endless_bytes += asio::write(socket, asio::buffer(block), failed);
+        }
+        return false;
+    }
     // Returns whether the connection stays open.
     bool answer(tcp::socket& socket, const http::request<http::string_body>& request) {
         const std::string target(request.target());
@@ -172,6 +200,9 @@
                   "Content-Length: 2\r\n\r\nok");
             return true;
         }
+        if (action.starts_with("endless-")) {
+            return write_endlessly(socket, action);
+        }
         if (action == "nothing") {
             write("HTTP/1.1 204 Nothing\r\n\r\n");
             return true;
@@ -217,7 +248,8 @@
     std::atomic<int> m_runs{0};
     std::atomic<std::size_t> m_closed_while_slow{0};
     std::atomic<std::size_t> m_running_slow{0}; // slow requests that began
-    std::string m_health;                       // set before the node starts
+    std::atomic<std::size_t> m_endless_bytes{0};
+    std::string m_health; // set before the node starts
     std::mutex m_mutex;
     std::string m_last_headers;
     std::vector<std::shared_ptr<tcp::socket>> m_sockets;
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -60,6 +60,34 @@
     }
 }
 
+// Guards against bytes without end in place of an answer, which would fill the memory, hold a slot
+// and keep the caller waiting for an end that never comes.
+BOOST_AUTO_TEST_CASE(answers_without_end_are_cut_off) {
+    fake_server server;
+    test_node& beside = add_node("n1", "pour", server.port());
+    beside.m_settings.m_max_answer_bytes = 200'000;
+    start();
+    const std::vector<std::pair<std::string, std::string>> expected{
+        {"endless-head", "unknown/answer-truncated"},
+        {"endless-body", "unknown/answer-too-large"},
+        {"endless-body-without-length", "unknown/answer-too-large"},
+        {"endless-interim", "unknown/connection-cut"},
+        {"endless-noise", "unknown/answer-truncated"}};
+    for (const auto& [action, result] : expected) {
+        BOOST_TEST_CONTEXT(action) {
+            const std::size_t before = server.endless_bytes();
+            const auto began = std::chrono::steady_clock::now();
+            const http_answer answer = caller(entry()).call("/once/" + action);
+            BOOST_TEST(reason_of(answer) == result);
+            // The route's timeout is 1 s: it must not take that long to see that no answer comes.
+            BOOST_TEST((std::chrono::steady_clock::now() - began < milliseconds(500)));
+            // Socket buffers hold some megabytes that the node never reads.
+            BOOST_TEST(server.endless_bytes() - before < 20'000'000U);
+            BOOST_TEST(caller(entry()).call("/once/echo", "mine").body() == "mine");
+        }
+    }
+}
+
 // Guards against an answer of one request that reaches the next caller on the same connection.
 BOOST_AUTO_TEST_CASE(stale_answer_is_never_passed_on) {
     fake_server server;
