--- a/src/node/operator_watch.cpp
+++ b/src/node/operator_watch.cpp
@@ -23,6 +23,9 @@
 constexpr milliseconds longest_retry_pause{800};
 // How often the watchers are worked out anew.
 constexpr milliseconds candidate_interval{500};
+// The same until a configuration is in force: after a loss of all power nobody has one, and every
+// caller waits for the first watchers.
+constexpr milliseconds first_candidate_interval{100};
 // Failed calls after which a watcher tells the others, so that the next ones watch.
 constexpr std::uint32_t failures_before_lost = 2;
 // A node that no longer tries the store forgets after this time that it couldn't reach it.
@@ -198,7 +201,8 @@
     if (now < watch.m_next_check) {
         return;
     }
-    watch.m_next_check = now + candidate_interval;
+    watch.m_next_check =
+        now + (state.m_distribution.m_ready ? candidate_interval : first_candidate_interval);
     const member& self = state.m_members.m_self;
     const std::string role = "watcher/" + self.m_data_centre;
     const auto beside = [&self](const member& m) { return m.m_data_centre == self.m_data_centre; };
