--- a/src/traffic/served_connection.cpp
+++ b/src/traffic/served_connection.cpp
@@ -73,6 +73,24 @@
 
 using connection_ptr = std::shared_ptr<served_connection>;
 
+// Tells the connection's coroutine that another one has ended, be it by an exception.
+class end_marker {
+public:
+    end_marker(bool& ended, call_control& waiting) : m_ended(ended), m_waiting(waiting) {}
+    end_marker(const end_marker&) = delete;
+    end_marker& operator=(const end_marker&) = delete;
+    end_marker(end_marker&&) = delete;
+    end_marker& operator=(end_marker&&) = delete;
+    ~end_marker() {
+        m_ended = true;
+        m_waiting.wake();
+    }
+
+private:
+    bool& m_ended;
+    call_control& m_waiting;
+};
+
 // Sets the headers that frame the answer for this connection.
 void frame_answer(http_response& answer, http::verb method, bool keep_alive) {
     answer.version(11);
@@ -233,16 +251,7 @@
 void begin_early(const connection_ptr& connection, const std::shared_ptr<received_request>& early) {
     early->m_early = call_control::create_beside(*connection->m_control);
     spawn_call(*early->m_early, [connection, early](const auto& self, asio::yield_context yield) {
-        // Marks the end also when the call ends by an exception.
-        struct end_marker {
-            served_connection& m_connection;
-            received_request& m_request;
-            ~end_marker() {
-                m_request.m_early_ended = true;
-                m_connection.m_control->wake();
-            }
-        };
-        const end_marker marker{*connection, *early};
+        const end_marker marker(early->m_early_ended, *connection->m_control);
         early->m_early_reply = dispatch(*connection, *self, early->m_request, yield);
         self->end_call();
     });
@@ -318,14 +327,7 @@
     connection->m_control->watch_elsewhere();
     connection->m_reader = call_control::create_beside(*connection->m_control);
     spawn_call(*connection->m_reader, [connection](const auto&, asio::yield_context yield) {
-        struct end_marker {
-            served_connection& m_connection;
-            ~end_marker() {
-                m_connection.m_reader_ended = true;
-                m_connection.m_control->wake();
-            }
-        };
-        const end_marker marker{*connection};
+        const end_marker marker(connection->m_reader_ended, *connection->m_control);
         read_requests(connection, yield);
     });
 }
