Drop the addresses of members that are gone from the byte account

Cause: the table that tells whether an address is in the own data centre kept the addresses of replaced members, so it grew with every replacement. Change: an address is dropped when its member leaves or dies.

--- a/src/node/gossip.cpp
+++ b/src/node/gossip.cpp
@@ -88,12 +88,15 @@
         return;
     }
     const member& changed = found->second.m_member;
-    const bool local = changed.m_data_centre == state.m_settings.m_data_centre;
-    state.m_address_is_local[changed.m_udp] = local;
-    state.m_address_is_local[changed.m_bulk] = local;
     const bool left = changed.m_state == member_state::left;
     if (left || changed.m_state == member_state::dead) {
         forget_holder(state, instance);
+        state.m_address_is_local.erase(changed.m_udp);
+        state.m_address_is_local.erase(changed.m_bulk);
+    } else {
+        const bool local = changed.m_data_centre == state.m_settings.m_data_centre;
+        state.m_address_is_local[changed.m_udp] = local;
+        state.m_address_is_local[changed.m_bulk] = local;
     }
     log_event(log_level::info, left ? "member_left" : "member_changed",
               {{"member", changed.m_instance},
@@ -104,10 +107,6 @@
                {"ready", changed.m_ready}});
 }
 
-} // namespace
-
-namespace {
-
 // Compares member tables with a member and merges what differs, both ways.
 void compare_tables(control& state, const std::string& instance) {
     const tracked_member* with = find_member(state.m_members, instance);
