Review case 1: bytes after an answer are taken for the next request's answer

Cause: an answer without an attempt id counts as the expected one, also on a reused connection, and its "not run" is believed.

--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -432,6 +432,7 @@
     def __init__(self, record, machine):
         self.record, self.machine, self.connection = record, machine, None
         self.results = []  # (time sent, time answered, attempt id, status or None)
+        self.foreign = []  # attempt ids whose success doesn't bear the seal of that request
 
     def call(self, path, method="POST", body=b"x" * 200, deadline_ms=3000, fresh=False):
         """Sends one request. Returns the status, or nothing if the connection ended."""
@@ -456,6 +457,8 @@
             seal = type(failure).__name__
         at = self.record.line(f"client at {self.machine.name} gets {attempt} {status} seal {seal}")
         self.results.append((sent, at, attempt, status))
+        if status == 200 and not (seal or "").endswith("." + attempt):
+            self.foreign.append(attempt)
         self.last_answer = answer
         return status
 
@@ -567,11 +570,19 @@
     case(deployment) returns a list of breaches, one line each."""
     folder = os.path.dirname(os.path.abspath(case_file))
     deployment, code = None, 2
+
+    def give_up(number, _):
+        raise CannotRun(f"signal {number}")
+
+    signal.signal(signal.SIGTERM, give_up)
+    signal.signal(signal.SIGINT, give_up)
     try:
         deployment = Deployment(folder, places)
         breaches = case(deployment)
-        for text in breaches[:10]:
-            print(deployment.record.line("BREACH " + text) and text)
+        for number, text in enumerate(breaches):
+            deployment.record.line("BREACH " + text)
+            if number < 10:
+                print(text)
         verdict = f"{len(breaches)} breaches" if breaches else "the rule held"
         deployment.stopping.set()
         deployment.record.close(verdict + (" (with the disruption)" if TROUBLE else
