--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -471,13 +471,13 @@
 class Deployment:
     """A store and some machines. Everything that it started ends with it."""
 
-    def __init__(self, folder_of_case, places):
+    def __init__(self, folder_of_case, places, store_class=Store):
         """places: a list of (zone, service), one for each machine."""
         self.record = Record(os.path.join(folder_of_case, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.stopping = threading.Event()
         self.ports = self._free_ports(len(places))
-        self.store = Store("127.0.77.250", self.ports[6])
+        self.store = store_class("127.0.77.250", self.ports[6])
         self.machines = [Machine(self, i, zone, service) for i, (zone, service) in
                          enumerate(places)]
 
@@ -564,7 +564,7 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def play(case_file, places, case):
+def play(case_file, places, case, store_class=Store):
     """Runs a case. Exit code 1: the rule was broken; 0: it held; 2: the case couldn't run.
 
     case(deployment) returns a list of breaches, one line each."""
@@ -577,7 +577,7 @@
     signal.signal(signal.SIGTERM, give_up)
     signal.signal(signal.SIGINT, give_up)
     try:
-        deployment = Deployment(folder, places)
+        deployment = Deployment(folder, places, store_class)
         breaches = case(deployment)
         for number, text in enumerate(breaches):
             deployment.record.line("BREACH " + text)
