--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -20,6 +20,7 @@
 import tempfile
 import threading
 import time
+import traceback
 import urllib.parse
 import uuid
 
@@ -591,6 +592,8 @@
         code = 1 if breaches else 0
     except CannotRun as failure:
         print("cannot run:", failure)
+    except Exception:  # a fault of the case says nothing about the rule
+        traceback.print_exc()
     finally:
         if deployment is not None:
             deployment.end()
