Tests on the platform: a store that loses calls, late reports, servers that end

Cause: the stand-ins could not play a store that takes a call and never answers it, the cut or compaction of waiting watches, a report that arrives late, or a server that ends and is replaced at its address. Change: the stand-ins can. Result: no check has changed.

--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -1,11 +1,12 @@
 """Stand-ins of the platform: its key-value store and backend servers that report themselves.
 
 Both run as threads of the test. The store keeps items with revisions, and supports watches,
-conditional writes and leases; with down set it refuses every call.
+conditional writes and leases; with down set it refuses every call, with silent set it loses it.
 """
 import base64
 import http.server
 import json
+import socket
 import threading
 import time
 import urllib.parse
@@ -18,10 +19,14 @@
     daemon_threads = True
     request_queue_size = 128
 
+    def handle_error(self, *_):
+        pass  # a peer closed its connection
+
 
 def _serve(handler, port=0):
     server = _Server((HOST, port), handler)
-    threading.Thread(target=server.serve_forever, daemon=True).start()
+    threading.Thread(target=server.serve_forever, kwargs={"poll_interval": 0.05},
+                     daemon=True).start()
     return server, f"{HOST}:{server.server_address[1]}"
 
 
@@ -49,7 +54,9 @@
 
     def __init__(self):
         self.items, self.events, self.leases = {}, [], {}
-        self.revision, self.calls, self.down = 1, 0, False
+        self.revision, self.calls, self.down, self.silent = 1, 0, False, False
+        self.oldest_revision = 0  # watches from an earlier revision get 410
+        self.waiting_watches = set()  # their connections
         self.hidden_key_parts = ()  # lists omit keys that contain one of these parts
         self.changed = threading.Condition()
         store = self
@@ -79,6 +86,18 @@
             item = self.items.get(key)
             return base64.b64decode(item["value"]).decode() if item else None
 
+    def cut_watches(self):
+        """Closes the connections of all watches that wait."""
+        with self.changed:
+            for connection in self.waiting_watches:
+                connection.shutdown(socket.SHUT_RDWR)
+
+    def drop_history(self):
+        """Forgets all events, as a compaction does, and cuts the watches."""
+        with self.changed:
+            self.oldest_revision = self.revision
+        self.cut_watches()
+
     def _write(self, key, value, lease):
         self.revision += 1
         created = self.items[key]["create_revision"] if key in self.items else self.revision
@@ -105,6 +124,8 @@
             self._delete(key)
 
     def handle_read(self, handler):
+        if self.silent:
+            return self._lose(handler)
         self.calls += 1
         url = urllib.parse.urlsplit(handler.path)
         query = dict(urllib.parse.parse_qsl(url.query))
@@ -125,15 +146,30 @@
                 return handler.reply(200, {"items": rows[:2], "has_more": len(rows) > 2,
                                            "current_rev": self.revision})
 
+            if int(query["after"]) < self.oldest_revision:
+                return handler.reply(410)
+
             def pending_events():
                 return [e for e in self.events
                         if e["revision"] > int(query["after"]) and e["key"].startswith(prefix)]
+            self.waiting_watches.add(handler.connection)
             self.changed.wait_for(lambda: pending_events() or self.down,
                                   int(query["wait_ms"]) / 1000)
+            self.waiting_watches.discard(handler.connection)
             answer = {"events": pending_events(), "current_rev": self.revision}
+        if self.silent:
+            return self._lose(handler)
         return handler.reply(503 if self.down else 200, answer)
 
+    @staticmethod
+    def _lose(handler):
+        """Answers neither this call nor a later one on the connection."""
+        handler.rfile.read()
+        handler.close_connection = True
+
     def handle_write(self, handler, body):
+        if self.silent:
+            return self._lose(handler)
         self.calls += 1
         if self.down:
             return handler.reply(503)
@@ -173,22 +209,33 @@
     """A backend server that seals its answers, that is, states its instance in them, and reports
     itself to the node beside it."""
 
-    def __init__(self, service, data_centre, reports_address, version="v1"):
+    def __init__(self, service, data_centre, reports_address, version="v1", port=0,
+                 instance_id=None):
         self.service, self.data_centre, self.version = service, data_centre, version
         self.reports_address = reports_address
-        self.instance_id = "i-" + uuid.uuid4().hex[:8]
+        self.instance_id = instance_id or "i-" + uuid.uuid4().hex[:8]
         self.started_ms, self.sequence, self.state = int(time.time() * 1000), 0, "ready"
         self.runs, self.callers, self.delay_s = [], set(), 0
         self.stopped = threading.Event()
+        self.connections = set()
         server = self
 
         class Handler(_Handler):
+            def setup(self):
+                super().setup()
+                server.connections.add(self.connection)
+
+            def finish(self):
+                server.connections.discard(self.connection)
+                super().finish()
+
             def do_GET(self):
                 server.handle_request(self, self.body())
 
             do_POST = do_GET
 
-        self.server, self.address = _serve(Handler)
+        self.server, self.address = _serve(Handler, port)
+        self.port = self.server.server_address[1]
         threading.Thread(target=self._report_periodically, daemon=True).start()
 
     def handle_request(self, handler, body):
@@ -203,23 +250,45 @@
                              {"X-Carawaytray-Attempt-Id": attempt_id,
                               "X-Carawaytray-Server-Seal": self.instance_id})
 
-    def report(self):
-        """Sends one report. Returns the status of the answer, or None if there is no answer."""
+    def make_report(self):
+        """Returns the next report without sending it; a late one is sent later."""
         self.sequence += 1
-        value = {"address": self.address, "born": self.started_ms,
-                 "info": {"service": self.service, "version": self.version,
-                          "zone": self.data_centre, "slots": 4},
-                 "status": {"state": self.state, "call_seq": self.sequence, "warmup_left_ms": 0}}
+        return json.dumps({
+            "address": self.address, "born": self.started_ms,
+            "info": {"service": self.service, "version": self.version,
+                     "zone": self.data_centre, "slots": 4},
+            "status": {"state": self.state, "call_seq": self.sequence, "warmup_left_ms": 0}})
+
+    def report(self, value=None):
+        """Sends this report or the next one. Returns the status of the answer, or None if there is
+        no answer."""
+        value = value or self.make_report()
         try:
             return request(self.reports_address, "POST",
                            "/api/Instances.Heartbeat/" + self.instance_id,
-                           json.dumps(value).encode(), timeout_s=1)[0]
+                           value.encode(), timeout_s=1)[0]
+        except OSError:
+            return None
+
+    def leave(self, value="{}"):
+        """Sends a leave notice. Returns the status of the answer, or None if there is no answer."""
+        try:
+            return request(self.reports_address, "POST",
+                           "/api/Instances.Deregister/" + self.instance_id, value.encode(),
+                           timeout_s=1)[0]
         except OSError:
             return None
 
-    def leave(self):
-        return request(self.reports_address, "POST",
-                       "/api/Instances.Deregister/" + self.instance_id, b"{}", timeout_s=1)[0]
+    def end(self):
+        """Ends the server; its connections are closed as by the end of its process."""
+        self.stopped.set()
+        self.server.shutdown()
+        self.server.server_close()
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # closed by its peer meanwhile
 
     def _report_periodically(self):
         while not self.stopped.wait(0.3):
