A hung read of the configuration no longer holds back the next one

Cause: operator_watch had one flag for all reads of the operators' items. A watch that begins while the store is silent, or whose answer falls into the silence, hangs until its timeout of 12 s; the connection stays open, so no error ends it sooner, and all watchers hang alike. Change: reads may overlap; an overdue one (0.5 s) no longer holds back the next, and a reply never replaces that of a later read. Watches wait 1.5 s instead of 10 to 20 s, on the product's own interface too, and not at all after a failure. A failed call closes the idle connections to the store. The line store_read_overdue names a hung read. Why it works: after the store's return the next read is sent 2 s later at the latest, 3 s before the bounds hold again; the calls grow with the watchers (eight at the target size), not with the fleet.

--- a/src/node/accepter.cpp
+++ b/src/node/accepter.cpp
@@ -384,6 +384,7 @@
 
 // Reads the accepted record and then its text. The store has no record before the first acceptance.
 void read_accepted_record(control& state) {
+    state.m_accepter.m_next_accepted_read = state.now() + list_interval;
     state.m_store->get(accepted_key, [&state](const store_reply& reply) {
         accepter_role& role = state.m_accepter;
         error reason;
@@ -407,10 +408,11 @@
     });
 }
 
-// Waits for a change of the submitted text or its delta for at most `list_interval`.
+// Waits for a change of the submitted text or its delta for at most `store_watch_wait`. The accepted
+// record is read again after each change, and at the interval at which watches may miss one.
 void watch_submitted_text(control& state) {
     accepter_role& role = state.m_accepter;
-    state.m_store->watch_keys(submitted_text_key, role.m_listed_revision, list_interval,
+    state.m_store->watch_keys(submitted_text_key, role.m_listed_revision, store_watch_wait,
                               [&state](const store_reply& reply) {
                                   accepter_role& accepter = state.m_accepter;
                                   accepter.m_call_pending = false;
@@ -418,9 +420,9 @@
                                       reset_accepter(accepter, state.now() + store_retry_pause);
                                       return;
                                   }
-                                  // Reads the accepted record again after every watch, since a
-                                  // watch can miss events.
-                                  accepter.m_accepted_read = false;
+                                  accepter.m_accepted_read =
+                                      reply.m_entries.empty() &&
+                                      state.now() < accepter.m_next_accepted_read;
                               });
 }
 
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -20,6 +20,7 @@
 #include "decide/distribution.hpp"
 #include "decide/entry_points.hpp"
 #include "decide/facts.hpp"
+#include "decide/hedged_read.hpp"
 #include "decide/lease.hpp"
 #include "decide/membership.hpp"
 #include "decide/version_move.hpp"
@@ -48,6 +49,9 @@
 
 // Readers and the accepter read their keys again at this interval, since watches can miss events.
 constexpr milliseconds list_interval{10'000};
+// How long the store may hold a watch open. It is short because a watch whose reply was lost in an
+// outage of the store misses changes until its time is over.
+constexpr milliseconds store_watch_wait{1'500};
 // Pause after a failed store call of a role.
 constexpr milliseconds store_retry_pause{500};
 
@@ -85,8 +89,8 @@
     time_point m_next_check;
     time_point m_store_lost_since;
     std::uint32_t m_failures = 0; // failed store calls since the last successful one
-    bool m_call_pending = false;
-    bool m_listed = false; // all items were read, and m_watch_revision is valid
+    hedged_reads m_reads;           // lists and watches of the items
+    bool m_listed = false;          // all items were read, and m_watch_revision is valid
     std::uint64_t m_watch_revision = 0;
     std::uint64_t m_latest_deletion_revision = 0;
     std::map<std::string, store_entry> m_items; // by key
@@ -124,6 +128,7 @@
     std::uint64_t m_accepted_text_version = 0;
     std::shared_ptr<const std::string> m_written_text; // the last text this accepter wrote
     bool m_accepted_read = false;                      // m_accepted and its text are current
+    time_point m_next_accepted_read;                   // when they are read again at the latest
     time_point m_retry_at;
 };
 
--- a/src/node/operator_watch.cpp
+++ b/src/node/operator_watch.cpp
@@ -9,6 +9,7 @@
 #include <boost/json.hpp>
 
 #include "base/hash.hpp"
+#include "decide/hedged_read.hpp"
 #include "node/control.hpp"
 #include "node/recorded.hpp"
 #include "observe/log.hpp"
@@ -16,8 +17,12 @@
 namespace caraway {
 namespace {
 
-// How long the store may hold a watch open. Keep-alive probes detect a dead connection earlier.
-constexpr milliseconds watch_timeout{10'000};
+// A read of the items whose reply is late by this much no longer holds back the next read. The
+// store answers in milliseconds, or in some hundreds of them while it is slow.
+constexpr milliseconds max_reply_delay{500};
+// Replaces store_watch_wait after a read that failed or is overdue, so that the loss of another
+// call is noticed soon.
+constexpr milliseconds check_wait{1};
 // Base of the pause after failed calls. Each consecutive failure doubles the pause up to
 // `max_retry_pause`; a random time below the pause is added, so that the nodes of a fleet don't all
 // call at the same time.
@@ -101,16 +106,26 @@
     perform(state, decide_store_read(state, config_text{version, hash, std::move(text)}));
 }
 
+// Ends a read of the items. Returns true if it succeeded and its reply is to be used; schedules the
+// next read if it failed. If a later read has succeeded, the reply says nothing new.
+bool finish_items_read(control& state, std::uint64_t number, const store_reply& reply) {
+    const bool succeeded = reply.m_kind == error_kind::none;
+    if (!end_read(state.m_operator.m_reads, number, succeeded)) {
+        return false;
+    }
+    update_store_access(state, reply);
+    if (!succeeded) {
+        schedule_retry(state);
+    }
+    return succeeded;
+}
+
 // Reads all items and applies them.
 void list_items(control& state) {
-    operator_watch& watch = state.m_operator;
-    watch.m_call_pending = true;
-    state.m_store->list(state.m_adapter.m_operator_key_prefix, [&state](const store_reply& reply) {
+    const std::uint64_t number = begin_read(state.m_operator.m_reads, max_reply_delay, state.now());
+    const auto on_reply = [&state, number](const store_reply& reply) {
         operator_watch& current_watch = state.m_operator;
-        current_watch.m_call_pending = false;
-        update_store_access(state, reply);
-        if (reply.m_kind != error_kind::none) {
-            schedule_retry(state);
+        if (!finish_items_read(state, number, reply)) {
             return;
         }
         current_watch.m_listed = true;
@@ -121,22 +136,20 @@
             current_watch.m_items.emplace(entry.m_key, entry);
         }
         apply_items(state);
-    });
+    };
+    state.m_store->list(state.m_adapter.m_operator_key_prefix, on_reply);
 }
 
-// Waits for changes of the items and applies them.
-void watch_items(control& state) {
+// Waits for changes of the items, at most for the given time, and applies them.
+void watch_items(control& state, milliseconds wait) {
     operator_watch& watch = state.m_operator;
-    watch.m_call_pending = true;
-    const auto on_reply = [&state](const store_reply& reply) {
+    const std::uint64_t number = begin_read(watch.m_reads, wait + max_reply_delay, state.now());
+    const auto on_reply = [&state, number](const store_reply& reply) {
         operator_watch& current_watch = state.m_operator;
-        current_watch.m_call_pending = false;
-        update_store_access(state, reply);
-        if (reply.m_kind != error_kind::none) {
+        if (!finish_items_read(state, number, reply)) {
             // If the store no longer has the history since `m_watch_revision`, it can't report what
             // changed, so all items are read again.
-            current_watch.m_listed = reply.m_kind != error_kind::store_not_found;
-            schedule_retry(state);
+            current_watch.m_listed &= reply.m_kind != error_kind::store_not_found;
             return;
         }
         current_watch.m_watch_revision = std::max(current_watch.m_watch_revision, reply.m_revision);
@@ -153,8 +166,8 @@
             apply_items(state);
         }
     };
-    state.m_store->watch(state.m_adapter.m_operator_key_prefix, watch.m_watch_revision,
-                         watch_timeout, on_reply);
+    state.m_store->watch(state.m_adapter.m_operator_key_prefix, watch.m_watch_revision, wait,
+                         on_reply);
 }
 
 // Reads the records of all moves once, so that a node that starts after the end of a move knows the
@@ -338,13 +351,19 @@
         now >= watch.m_records_retry_at) {
         read_records(state);
     }
-    if (watch.m_call_pending || now < watch.m_retry_at) {
+    if (!may_send_read(watch.m_reads, now) || now < watch.m_retry_at) {
         return;
     }
+    const bool overdue = is_read_overdue(watch.m_reads, now);
+    if (overdue) {
+        log_event(log_level::warning, "store_read_overdue",
+                  {{"read", watch.m_reads.m_last_sent}, {"listed", watch.m_listed}});
+    }
     if (!watch.m_listed || now >= watch.m_next_list) {
         list_items(state);
     } else {
-        watch_items(state);
+        const bool store_answers = watch.m_store_reachable && !overdue;
+        watch_items(state, store_answers ? store_watch_wait : check_wait);
     }
 }
 
--- a/src/node/store_roles.cpp
+++ b/src/node/store_roles.cpp
@@ -10,8 +10,6 @@
 
 // How often a node determines again whether it is a candidate for a role.
 constexpr milliseconds candidate_interval{1'000};
-// How long the store may hold a watch open.
-constexpr milliseconds watch_timeout{20'000};
 
 // Applies the reply to a store call of a lease.
 void finish_lease_call(control& state, lease_role& role, const store_reply& reply) {
@@ -93,12 +91,13 @@
     }
 }
 
-// Waits for changes below the state prefix until the next list is due, for at most `watch_timeout`.
+// Waits for changes below the state prefix until the next list is due, for at most
+// `store_watch_wait`.
 void watch_state(control& state, reader_role& role) {
     role.m_call_pending = true;
     const auto timeout =
         std::clamp(std::chrono::duration_cast<milliseconds>(role.m_next_list - state.now()),
-                   milliseconds{100}, watch_timeout);
+                   milliseconds{100}, store_watch_wait);
     state.m_store->watch(
         state_prefix, role.m_watch_revision, timeout, [&state, &role](const store_reply& reply) {
             role.m_call_pending = false;
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -25,7 +25,7 @@
 // for one value of a megabyte as escaped JSON.
 constexpr std::size_t max_reply_bytes = 8U << 20U;
 // Time that a watch may take in addition to the wait in its request.
-constexpr milliseconds watch_timeout_margin{2'000};
+constexpr milliseconds watch_timeout_margin{1'000};
 
 // One store call with its timeout and callback.
 struct store_call {
@@ -135,6 +135,8 @@
             out.m_response = parser.release();
         }
         if (ec) {
+            // The store may have stopped answering on the idle connections, too.
+            m_idle_connections.clear();
             out.m_kind = is_read(call.m_command.m_operation) || out.m_sent == 0
                              ? error_kind::store_unreachable
                              : error_kind::store_outcome_unknown;
--- a/tests/integration/platform_test.py
+++ b/tests/integration/platform_test.py
@@ -10,6 +10,7 @@
 APPLY_S = 2     # until an accepted configuration is in force
 JOINED_S = 1.2  # until nodes that start together have joined; they look for others after 2 s
 EVACUATE_S = 3  # until a data centre that was taken out gets no new calls
+CONTACT_S = 3   # from the end of an outage until the bounds hold again
 
 class Platform:
     """A store and four instances in two data centres."""
@@ -122,6 +123,33 @@
                    "in force after the store's return")
 
 
+def check_change_after_silence(disturb_watches):
+    """Loses all calls to the store for 2.5 s and disturbs the watches meanwhile. Checks that a
+    change is in force in time once the store has answered again for CONTACT_S."""
+    with Platform() as platform:
+        platform.store.silent = True
+        time.sleep(1)
+        disturb_watches(platform.store)
+        time.sleep(1.5)
+        platform.store.silent = False
+        time.sleep(CONTACT_S)
+        platform.store.put("op/config", config(9, FIRST_ROUTES[:2]))
+        wait_until(lambda: all(i.call("/both/z")[0] == 404 for i in platform.instances), APPLY_S,
+                   "in force")
+
+
+def test_watches_begun_in_a_silent_outage():
+    """Guards against a watch whose call was lost and that holds back every other read: after the
+    watches were cut while the store was silent, nothing was read for 12 s."""
+    check_change_after_silence(PlatformStore.cut_watches)
+
+
+def test_watches_answered_in_a_silent_outage():
+    """Guards against a watch whose answer was lost, which looks like one that waits for a change."""
+    check_change_after_silence(
+        lambda store: store.put("op/config", config(7, FIRST_ROUTES)))
+
+
 def test_groups_that_started_apart():
     """Guards against nodes that start together, join only each other and never join the rest. In a
     test of one day with a power loss, 3 of 8 runs refused a fifth of the day's calls after it."""
@@ -134,4 +162,5 @@
 
 if __name__ == "__main__":
     run_tests([test_calls_and_configuration_change, test_drain_and_evacuation,
-               test_store_unavailable, test_groups_that_started_apart])
+               test_store_unavailable, test_watches_begun_in_a_silent_outage,
+               test_watches_answered_in_a_silent_outage, test_groups_that_started_apart])
