A departure is acknowledged only once other members hold a copy of it

Cause: the leave, and likewise the report that a server is draining, were kept in the memory of the process that acknowledged them. After that process was killed its successor took a late report for that of a ready server: its log shows server_report "taken" and takes_work 3 s after server_leave. Ruled out: outdated entries at the callers' nodes (no call before takes_work) and a wrong match of the notice (verdict "taken"). Change: the departure is a field of the instance's member entry, which members merge over all incarnations. The node acknowledges it after two members (or the only other one) have confirmed their copy by the existing merge_members message, otherwise it answers 503. A restarted node gives its server no calls until it has joined, at most for the 6 s that a report may be late. The report server can answer later (admin_server::start_async). Why it works: the promise rests on entries that the loss of the process doesn't touch, and its successor reads them before the first call.

--- a/src/decide/membership.hpp
+++ b/src/decide/membership.hpp
@@ -20,6 +20,7 @@
 #include "base/random.hpp"
 #include "config/settings.hpp"
 #include "decide/facts.hpp"
+#include "decide/server_departure.hpp"
 
 namespace caraway {
 
@@ -56,6 +57,10 @@
     std::uint64_t m_config_version = 0; // highest version reported as in force at the instance
     bool m_ready = false;               // has applied a configuration and accepts calls
     bool m_store_lost = false;          // cannot reach the store
+    // Last acknowledged departure of a backend server beside the instance. Nodes merge it as the
+    // later one over all incarnations until the entry becomes a tombstone, so that a restarted
+    // instance learns of its predecessor's.
+    server_departure m_departure;
     friend bool operator==(const member&, const member&) = default;
 };
 
--- a/src/decide/membership_merge.cpp
+++ b/src/decide/membership_merge.cpp
@@ -42,15 +42,39 @@
     return true;
 }
 
+// Merges a later departure of the instance's backend server, whatever the incarnation of the entry.
+// Returns whether it changed.
+bool merge_departure(tracked_member& tracked, const member& entry) {
+    member& known = tracked.m_member;
+    const server_departure later = later_departure(known.m_departure, entry.m_departure);
+    if (later == known.m_departure || tracked.m_is_tombstone) {
+        return false;
+    }
+    known.m_departure = later;
+    return true;
+}
+
+// Takes over from an entry of a predecessor what all processes under this name have in common: the
+// first start, and the last departure of a backend server. Returns whether anything changed.
+bool inherit_from_predecessor(membership_table& table, const member& entry) {
+    member& self = table.m_self;
+    const std::uint64_t first = earlier_start(self.m_first_incarnation, entry.m_first_incarnation);
+    const server_departure departure = later_departure(self.m_departure, entry.m_departure);
+    if (first == self.m_first_incarnation && departure == self.m_departure) {
+        return false;
+    }
+    self.m_first_incarnation = first;
+    self.m_departure = departure;
+    table.m_announced.m_first_incarnation = first;
+    table.m_announced.m_departure = departure;
+    return true;
+}
+
 // Handles an entry about this node. Any claim that is not older than this node's incarnation is
 // refuted by a higher one, including an entry of a predecessor whose clock was ahead.
 void refute_claim(membership_table& table, const member& entry, time_point now, actions& out) {
     member& self = table.m_self;
-    // A restarted process gets the first start of its name from its predecessor's entry.
-    const std::uint64_t first = earlier_start(self.m_first_incarnation, entry.m_first_incarnation);
-    if (first != self.m_first_incarnation) {
-        self.m_first_incarnation = first;
-        table.m_announced.m_first_incarnation = first;
+    if (inherit_from_predecessor(table, entry)) {
         table.m_self_changed = now;
         queue_self(table);
         report_member_change(self.m_instance, out);
@@ -109,8 +133,10 @@
     toggle_bucket_hash(table, tracked);
     if (has_addresses(entry)) {
         const std::uint64_t first = tracked.m_member.m_first_incarnation;
+        const server_departure departure = tracked.m_member.m_departure;
         tracked.m_member = entry;
         tracked.m_member.m_first_incarnation = was_tombstone ? entry.m_first_incarnation : first;
+        tracked.m_member.m_departure = was_tombstone ? entry.m_departure : departure;
     } else {
         tracked.m_member.m_incarnation = entry.m_incarnation;
     }
@@ -218,12 +244,14 @@
     }
     tracked_member& tracked = found->second;
     const bool lowered = lower_first_start(table, tracked, entry);
+    const bool departed = merge_departure(tracked, entry);
     if (is_suspect_or_dead(entry.m_state) &&
         entry.m_incarnation == tracked.m_member.m_incarnation) {
         lower_loss_start(tracked, entry.m_lost_ms);
     }
     const merge_result result = merge_known(table, tracked, entry, source, now);
-    return lowered && result == merge_result::unchanged ? merge_result::changed : result;
+    return (lowered || departed) && result == merge_result::unchanged ? merge_result::changed
+                                                                      : result;
 }
 
 } // namespace swim
--- a/src/decide/membership_packet_size.cpp
+++ b/src/decide/membership_packet_size.cpp
@@ -43,7 +43,8 @@
         bytes_field_size(value.m_service.size()) + bytes_field_size(value.m_version.size()) +
         endpoint_field_size(value.m_traffic) + endpoint_field_size(value.m_udp) +
         endpoint_field_size(value.m_bulk) + number_field_size(value.m_config_version) +
-        number_field_size(1));
+        number_field_size(1) + bytes_field_size(value.m_departure.m_server.size()) +
+        signed_field_size(value.m_departure.m_started_ms));
 }
 
 std::size_t suspension_bytes(const suspension& value) {
--- a/src/decide/own_server.cpp
+++ b/src/decide/own_server.cpp
@@ -9,16 +9,14 @@
            server.m_report->m_started_ms == started_ms;
 }
 
-// Reports may arrive seconds late. After a leave notice without a start time, a report that arrives
-// later than this is taken for one of a new incarnation.
-constexpr milliseconds max_report_delay{6'000};
-// Within max_report_delay, a report with a sequence number above this can't come from a new
-// incarnation: its sequence restarts, and a server needs some seconds to stop and start.
+// Within max_report_delay after a leave notice without a start time, a report with a sequence
+// number above this can't come from a new incarnation: its sequence restarts, and a server needs
+// some seconds to stop and start.
 constexpr std::uint64_t max_new_incarnation_sequence = 2;
 
 // Returns true if the report comes from an incarnation whose leave notice arrived before this node
 // knew it. A notice without a start time is attributed to the incarnation whose late report follows
-// it.
+// it; a report that arrives after max_report_delay is taken for one of a new incarnation.
 bool has_left(own_server& server, const server_report& report, time_point now) {
     auto& leave = server.m_unmatched_leave;
     if (!leave || leave->m_server != report.m_server) {
@@ -88,6 +86,31 @@
     return report_verdict::taken;
 }
 
+server_departure departure_of(const own_server& server, const server_leave_notice& leave,
+                              std::int64_t now_ms) {
+    if (leave.m_started_ms) {
+        return {leave.m_server, *leave.m_started_ms};
+    }
+    const bool known = server.m_report && server.m_report->m_server == leave.m_server;
+    return {leave.m_server, known ? server.m_report->m_started_ms : now_ms};
+}
+
+void apply_departure(own_server& server, const server_departure& departure, time_point now) {
+    if (departure.m_server.empty()) {
+        return;
+    }
+    if (server.m_report &&
+        has_departed(departure, server.m_report->m_server, server.m_report->m_started_ms)) {
+        server.m_left = true;
+        return;
+    }
+    auto& leave = server.m_unmatched_leave;
+    if (!leave || (leave->m_server == departure.m_server && !leave->m_started_ms)) {
+        leave = server_leave_notice{departure.m_server, departure.m_started_ms};
+        server.m_unmatched_leave_at = now;
+    }
+}
+
 error_kind server_refusal(const own_server& server, time_point now, milliseconds silence_limit) {
     if (!server.m_report) {
         return error_kind::connect_failed;
--- a/src/decide/own_server.hpp
+++ b/src/decide/own_server.hpp
@@ -11,6 +11,7 @@
 #include "base/clock.hpp"
 #include "base/error.hpp"
 #include "config/settings.hpp"
+#include "decide/server_departure.hpp"
 
 namespace caraway {
 
@@ -36,6 +37,9 @@
     std::optional<std::int64_t> m_started_ms;
 };
 
+// Reports may arrive this late.
+constexpr milliseconds max_report_delay{6'000};
+
 // State of the backend server beside this node.
 struct own_server {
     std::optional<server_report> m_report; // last accepted report of the current incarnation
@@ -68,6 +72,16 @@
 // server is stale, too, but is stored to reject late reports of that server.
 report_verdict receive_leave(own_server& server, const server_leave_notice& leave, time_point now);
 
+// Returns the departure that acknowledging the notice promises to respect. Without a start time in
+// the notice, it is that of the known report, or else now_ms, the current Unix time in
+// milliseconds.
+server_departure departure_of(const own_server& server, const server_leave_notice& leave,
+                              std::int64_t now_ms);
+
+// Applies a departure that this process or a predecessor of it has acknowledged: the server gets no
+// calls, and its late reports are stale.
+void apply_departure(own_server& server, const server_departure& departure, time_point now);
+
 // Returns why the server may receive no calls: none if it may, draining if it is draining or
 // stopping, or connect_failed if it is unknown, unreachable or has sent no report for longer than
 // silence_limit.
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -89,8 +89,8 @@
     time_point m_next_check;
     time_point m_store_lost_since;
     std::uint32_t m_failures = 0; // failed store calls since the last successful one
-    hedged_reads m_reads;           // lists and watches of the items
-    bool m_listed = false;          // all items were read, and m_watch_revision is valid
+    hedged_reads m_reads;         // lists and watches of the items
+    bool m_listed = false;        // all items were read, and m_watch_revision is valid
     std::uint64_t m_watch_revision = 0;
     std::uint64_t m_latest_deletion_revision = 0;
     std::map<std::string, store_entry> m_items; // by key
@@ -228,6 +228,10 @@
     operator_watch m_operator;
     own_server m_own_server;
     own_server_view m_own_view; // as last published to the traffic threads
+    // Whether this process knows the departures that its predecessors have acknowledged. Until then
+    // the own server gets no calls.
+    bool m_departures_known = false;
+    server_departure m_replicated_departure; // last departure of which other members hold copies
     accepter_role m_accepter;
     move_role m_move;
     collector_state m_collector;
@@ -336,8 +340,10 @@
 void refresh_own_server(control& state);
 // Called when connections to the own server failed: it gets no calls until it reports again.
 void mark_server_unreachable(control& state, const std::string& server);
-// Handles a report or leave request of the own server; answers any other request with 404.
-admin_answer answer_server_request(control& state, const admin_request& request);
+// Handles a report or leave request of the own server; answers any other request with 404. Answers
+// a departure once other members hold a copy of it, or with 503 if they don't in time.
+void answer_server_request(control& state, const admin_request& request,
+                           const std::function<void(admin_answer)>& respond);
 
 // admin_pages.cpp: the pages of the admin address.
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -290,10 +290,10 @@
             return true;
         }
         control& state = m_state;
-        m_report_server = admin_server::start(
+        m_report_server = admin_server::start_async(
             m_context, m_state.m_settings.m_reports,
-            [&state](const admin_request& request) {
-                return answer_server_request(state, request);
+            [&state](const admin_request& request, const admin_responder& respond) {
+                answer_server_request(state, request, respond);
             },
             reason, admin_server::methods::get_and_post);
         return m_report_server != nullptr;
--- a/src/node/server_reports.cpp
+++ b/src/node/server_reports.cpp
@@ -1,6 +1,9 @@
 // Handles the reports of the backend server beside this node and updates the traffic threads and
-// the members. A reply acknowledges a report only after its content is in force on this node.
+// the members. A reply acknowledges a report only after its content is in force on this node, and a
+// departure only after other members have confirmed a copy of it, so that a successor of this
+// process respects it too.
 
+#include "decide/replication.hpp"
 #include "node/control.hpp"
 #include "observe/log.hpp"
 #include "traffic/admin.hpp"
@@ -12,6 +15,10 @@
 // may be seconds late.
 constexpr int max_missed_reports = 4;
 
+constexpr std::uint16_t status_acknowledged = 200;
+constexpr std::uint16_t status_unreadable = 400;
+constexpr std::uint16_t status_try_again = 503;
+
 // Announces a change in the member data by which the other nodes route.
 void announce_own_server(control& state) {
     perform(state, membership_update_self(state.m_members, true, state.now()));
@@ -40,14 +47,69 @@
                (current_report.m_warmup_left.count() == 0);
 }
 
+// Answers a report or a leave notice.
+void respond_with_status(const admin_responder& respond, std::uint16_t status) {
+    respond({status, "application/json", "{}"});
+}
+
+// Ends a round of copies of a departure: remembers that it is replicated, and answers the server.
+void finish_replication(control& state, const server_departure& departure, bool replicated,
+                        const admin_responder& respond) {
+    log_event(replicated ? log_level::info : log_level::warning, "departure_replicated",
+              {{"server", departure.m_server}, {"replicated", replicated}});
+    if (replicated) {
+        state.m_replicated_departure = later_departure(state.m_replicated_departure, departure);
+    }
+    respond_with_status(respond, replicated ? status_acknowledged : status_try_again);
+}
+
+// Sends this node's entry, which names the last departure, to some members, and answers the server
+// when enough of them have confirmed it, or when too few can.
+void replicate_departure(control& state, const admin_responder& respond) {
+    const server_departure departure = state.m_members.m_self.m_departure;
+    if (state.m_replicated_departure == departure) {
+        respond_with_status(respond, status_acknowledged);
+        return;
+    }
+    const std::vector<ip_endpoint> replicas = choose_replicas(state.m_members, state.m_random);
+    if (replicas.empty()) {
+        finish_replication(state, departure, false, respond);
+        return;
+    }
+    auto round = std::make_shared<replication_round>(begin_round(replicas.size()));
+    const auto on_reply = [&state, departure, round,
+                           respond](const std::optional<bulk_reply>& reply) {
+        const bool confirmed = reply && std::holds_alternative<ack_reply>(*reply);
+        const replication_result result = count_reply(*round, confirmed);
+        if (result != replication_result::pending) {
+            finish_replication(state, departure, result == replication_result::done, respond);
+        }
+    };
+    for (const ip_endpoint& replica : replicas) {
+        send_bulk(state, replica, merge_members_request{{state.m_members.m_self}}, on_reply);
+    }
+}
+
+// Puts a departure into force on this node, announces it and replicates it, then answers.
+void depart_and_respond(control& state, const server_departure& departure,
+                        const admin_responder& respond) {
+    server_departure& latest = state.m_members.m_self.m_departure;
+    latest = later_departure(latest, departure);
+    refresh_own_server(state);
+    announce_own_server(state);
+    replicate_departure(state, respond);
+}
+
 // Handles a report of the server with the given name; answers an unreadable one with 400.
-admin_answer handle_report(control& state, std::string_view server, std::string_view body) {
+void handle_report(control& state, std::string_view server, std::string_view body,
+                   const admin_responder& respond) {
     error reason;
     const auto report = state.m_adapter.m_report_interface.m_decode_report(server, body, reason);
     if (!report) {
         log_event(log_level::warning, "server_report_unreadable",
                   {{"server", server}, {"reason", reason.m_text}});
-        return {400, "application/json", "{}"};
+        respond_with_status(respond, status_unreadable);
+        return;
     }
     const std::optional<server_report> previous_report = state.m_own_server.m_report;
     const report_verdict verdict =
@@ -55,24 +117,38 @@
     if (verdict != report_verdict::taken || is_changed_report(previous_report, *report)) {
         log_report(*report, verdict);
     }
+    if (verdict != report_verdict::foreign && report->m_state == server_state::draining) {
+        depart_and_respond(state, {report->m_server, report->m_started_ms}, respond);
+        return;
+    }
     refresh_own_server(state);
-    return {200, "application/json", "{}"};
+    respond_with_status(respond, status_acknowledged);
 }
 
 // Handles a leave notice of the server with the given name; answers an unreadable one with 400.
-admin_answer handle_leave(control& state, std::string_view server, std::string_view body) {
+void handle_leave(control& state, std::string_view server, std::string_view body,
+                  const admin_responder& respond) {
     error reason;
     const auto leave = state.m_adapter.m_report_interface.m_decode_leave(server, body, reason);
     if (!leave) {
         log_event(log_level::warning, "server_leave_unreadable",
                   {{"server", server}, {"reason", reason.m_text}});
-        return {400, "application/json", "{}"};
+        respond_with_status(respond, status_unreadable);
+        return;
     }
+    const server_departure departure =
+        departure_of(state.m_own_server, *leave, unix_ms(state.m_clock.wall_now()));
     const report_verdict verdict = receive_leave(state.m_own_server, *leave, state.now());
     log_event(log_level::info, "server_leave",
               {{"server", server}, {"verdict", report_verdict_name(verdict)}});
-    refresh_own_server(state);
-    return {200, "application/json", "{}"};
+    depart_and_respond(state, departure, respond);
+}
+
+// Returns whether this process knows which departures its predecessors have acknowledged: a member
+// has told it, the mesh has no other member, or all reports sent to a predecessor have arrived.
+bool predecessor_departures_known(const control& state) {
+    return state.m_join.m_complete || state.m_join.m_no_member_found ||
+           state.now() - state.m_members.m_started >= max_report_delay;
 }
 
 } // namespace
@@ -88,6 +164,9 @@
     const own_server& server = state.m_own_server;
     view.m_refusal = server_refusal(server, state.now(),
                                     max_missed_reports * state.m_settings.m_report_interval);
+    if (view.m_refusal == error_kind::none && !state.m_departures_known) {
+        view.m_refusal = error_kind::node_not_ready;
+    }
     if (server.m_report) {
         view.m_server = server.m_report->m_server;
         view.m_service = server.m_report->m_service;
@@ -99,6 +178,8 @@
 }
 
 void refresh_own_server(control& state) {
+    state.m_departures_known = state.m_departures_known || predecessor_departures_known(state);
+    apply_departure(state.m_own_server, state.m_members.m_self.m_departure, state.now());
     const own_server_view view = make_own_server_view(state);
     if (view == state.m_own_view) {
         return;
@@ -132,17 +213,20 @@
     }
 }
 
-admin_answer answer_server_request(control& state, const admin_request& request) {
+void answer_server_request(control& state, const admin_request& request,
+                           const admin_responder& respond) {
     const server_report_interface& reports = state.m_adapter.m_report_interface;
     if (!request.m_is_get && request.m_path.starts_with(reports.m_report_path)) {
-        return handle_report(state, request.m_path.substr(reports.m_report_path.size()),
-                             request.m_body);
+        handle_report(state, request.m_path.substr(reports.m_report_path.size()), request.m_body,
+                      respond);
+        return;
     }
     if (!request.m_is_get && request.m_path.starts_with(reports.m_leave_path)) {
-        return handle_leave(state, request.m_path.substr(reports.m_leave_path.size()),
-                            request.m_body);
+        handle_leave(state, request.m_path.substr(reports.m_leave_path.size()), request.m_body,
+                     respond);
+        return;
     }
-    return {404, "application/json", "{}"};
+    respond({404, "application/json", "{}"});
 }
 
 } // namespace caraway
--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -92,6 +92,8 @@
     to.set_store_lost(from.m_store_lost);
     to.set_first_incarnation(from.m_first_incarnation);
     to.set_lost_ms(from.m_lost_ms);
+    to.set_departed_server(from.m_departure.m_server);
+    to.set_departed_started_ms(from.m_departure.m_started_ms);
 }
 
 member from_wire(const wire::Member& from) {
@@ -110,6 +112,7 @@
     out.m_store_lost = from.store_lost();
     out.m_first_incarnation = from.first_incarnation();
     out.m_lost_ms = from.lost_ms();
+    out.m_departure = {from.departed_server(), from.departed_started_ms()};
     return out;
 }
 
--- a/src/traffic/admin.cpp
+++ b/src/traffic/admin.cpp
@@ -1,7 +1,10 @@
 #include "traffic/admin.hpp"
 
+#include <optional>
+
 #include <boost/asio/detached.hpp>
 #include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
@@ -19,14 +22,23 @@
 constexpr std::size_t max_connections = 16;
 // Time within which a request must arrive and its answer must be received.
 constexpr milliseconds connection_timeout{5'000};
+// Time within which the handler must answer a request.
+constexpr milliseconds answer_timeout{1'000};
 constexpr std::uint32_t max_request_header_bytes = 8U << 10U;
 constexpr std::uint64_t max_request_body_bytes = 64U << 10U;
 
+// The answer to a request, for which its connection waits.
+struct pending_answer {
+    explicit pending_answer(asio::io_context& io) : m_timer(io) {}
+    std::optional<admin_answer> m_answer;
+    asio::steady_timer m_timer; // cancelled when the answer is there
+};
+
 } // namespace
 
 class admin_server::impl : public std::enable_shared_from_this<impl> {
 public:
-    impl(asio::io_context& io, admin_handler handler, methods allowed)
+    impl(asio::io_context& io, async_admin_handler handler, methods allowed)
         : m_io(io), m_acceptor(io), m_handler(std::move(handler)), m_allowed(allowed) {}
 
     bool listen(const ip_endpoint& address, error& reason) {
@@ -94,8 +106,12 @@
                                                parser.get().method() == http::verb::post);
         const admin_answer answer =
             method_allowed
-                ? m_handler({is_get, path_of({target.data(), target.size()}), parser.get().body()})
+                ? ask_handler(
+                      {is_get, path_of({target.data(), target.size()}), parser.get().body()}, yield)
                 : admin_answer{405, "text/plain", "this method is not known here\n"};
+        if (m_stopped) {
+            return;
+        }
         http_response message;
         message.version(11);
         message.result(answer.m_status);
@@ -107,9 +123,24 @@
         stream.socket().shutdown(tcp::socket::shutdown_both, failed);
     }
 
+    // Passes the request to the handler and waits for its answer.
+    admin_answer ask_handler(const admin_request& request, asio::yield_context yield) {
+        auto pending = std::make_shared<pending_answer>(m_io);
+        pending->m_timer.expires_after(answer_timeout);
+        m_handler(request, [pending](admin_answer answer) {
+            pending->m_answer = std::move(answer);
+            pending->m_timer.cancel();
+        });
+        if (!pending->m_answer) {
+            error_code ignored;
+            pending->m_timer.async_wait(yield[ignored]);
+        }
+        return pending->m_answer.value_or(admin_answer{503, "text/plain", "no answer in time\n"});
+    }
+
     asio::io_context& m_io;
     tcp::acceptor m_acceptor;
-    admin_handler m_handler;
+    async_admin_handler m_handler;
     methods m_allowed;
     std::size_t m_open_connections = 0;
     bool m_stopped = false;
@@ -118,6 +149,17 @@
 std::unique_ptr<admin_server> admin_server::start(asio::io_context& io, const ip_endpoint& address,
                                                   admin_handler handler, error& reason,
                                                   methods allowed) {
+    auto answer_at_once = [handler = std::move(handler)](const admin_request& request,
+                                                         const admin_responder& respond) {
+        respond(handler(request));
+    };
+    return start_async(io, address, std::move(answer_at_once), reason, allowed);
+}
+
+std::unique_ptr<admin_server> admin_server::start_async(asio::io_context& io,
+                                                        const ip_endpoint& address,
+                                                        async_admin_handler handler, error& reason,
+                                                        methods allowed) {
     auto implementation = std::make_shared<impl>(io, std::move(handler), allowed);
     if (!implementation->listen(address, reason)) {
         return nullptr;
--- a/src/traffic/admin.hpp
+++ b/src/traffic/admin.hpp
@@ -32,6 +32,12 @@
 // Called for each request on the thread that runs the io_context.
 using admin_handler = std::function<admin_answer(const admin_request&)>;
 
+// Sends the answer to a request. It may be called later, on the same thread, and once.
+using admin_responder = std::function<void(admin_answer)>;
+
+// Like admin_handler, for requests whose answer isn't known at once.
+using async_admin_handler = std::function<void(const admin_request&, admin_responder)>;
+
 // HTTP server with a small number of concurrent connections, each closed after one answer.
 class admin_server {
 public:
@@ -41,6 +47,12 @@
     static std::unique_ptr<admin_server> start(boost::asio::io_context& io,
                                                const ip_endpoint& address, admin_handler handler,
                                                error& reason, methods allowed = methods::get);
+    // Like start(), with a handler that may answer later. A request without an answer after a
+    // second is answered with status 503.
+    static std::unique_ptr<admin_server> start_async(boost::asio::io_context& io,
+                                                     const ip_endpoint& address,
+                                                     async_admin_handler handler, error& reason,
+                                                     methods allowed = methods::get);
     admin_server(const admin_server&) = delete;
     admin_server& operator=(const admin_server&) = delete;
     admin_server(admin_server&&) = delete;
--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -37,13 +37,11 @@
 public:
     admin_fixture() : m_work(m_io.get_executor()) {
         error reason;
-        m_server = admin_server::start(
+        m_server = admin_server::start_async(
             m_io, {"127.0.0.1", m_port},
-            [this](const admin_request& request) {
-                const std::string_view path = request.m_path;
+            [this](const admin_request& request, const admin_responder& respond) {
                 ++m_handled_requests;
-                return path == "/big" ? admin_answer{200, "text/plain", big_body()}
-                                      : admin_answer{503, "text/odd", std::string(path)};
+                answer(request.m_path, respond);
             },
             reason);
         BOOST_REQUIRE_MESSAGE(m_server, reason.m_text);
@@ -78,12 +76,30 @@
     }
     void check_page_is_served() { BOOST_TEST(contains(exchange(s_request), "\r\n\r\n/page")); }
 
+private:
+    // Answers /later after a while and /never not at all.
+    void answer(std::string_view path, const admin_responder& respond) {
+        if (path == "/never") {
+            return;
+        }
+        if (path == "/later") {
+            m_delay.expires_after(milliseconds(200));
+            m_delay.async_wait([respond](const boost::system::error_code&) {
+                respond({200, "text/plain", "later"});
+            });
+            return;
+        }
+        respond(path == "/big" ? admin_answer{200, "text/plain", big_body()}
+                               : admin_answer{503, "text/odd", std::string(path)});
+    }
+
 protected:
     static constexpr const char* s_request = "GET /page?x=1 HTTP/1.1\r\nHost: a\r\n\r\n";
     std::uint16_t m_port = free_port();
     std::atomic<int> m_handled_requests{0};
     asio::io_context m_client;
     asio::io_context m_io{1};
+    asio::steady_timer m_delay{m_io};
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     std::unique_ptr<admin_server> m_server;
     std::thread m_thread;
@@ -106,6 +122,16 @@
     BOOST_TEST(m_handled_requests == 1);
 }
 
+// Guards against an answer that is sent before the handler has one, and against a request that
+// waits for ever because the handler never answers.
+BOOST_AUTO_TEST_CASE(answers_may_come_later_or_never) {
+    BOOST_TEST(contains(exchange("GET /later HTTP/1.1\r\n\r\n"), "\r\n\r\nlater"));
+    const auto start = std::chrono::steady_clock::now();
+    BOOST_TEST(exchange("GET /never HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 503 "));
+    BOOST_TEST((std::chrono::steady_clock::now() - start < seconds(2)));
+    check_page_is_served();
+}
+
 // Guards against a page returned for an incomplete request, and against a server that stops
 // answering after such a request.
 BOOST_AUTO_TEST_CASE(oversized_malformed_and_truncated_requests_get_no_page) {
--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -30,6 +30,13 @@
     return server, f"{HOST}:{server.server_address[1]}"
 
 
+def _cut(connection):
+    try:
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass  # the peer has closed it
+
+
 class _Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
 
@@ -90,7 +97,7 @@
         """Closes the connections of all watches that wait."""
         with self.changed:
             for connection in self.waiting_watches:
-                connection.shutdown(socket.SHUT_RDWR)
+                _cut(connection)
 
     def drop_history(self):
         """Forgets all events, as a compaction does, and cuts the watches."""
@@ -285,10 +292,7 @@
         self.server.shutdown()
         self.server.server_close()
         for connection in list(self.connections):
-            try:
-                connection.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass  # closed by its peer meanwhile
+            _cut(connection)
 
     def _report_periodically(self):
         while not self.stopped.wait(0.3):
--- a/tests/integration/platform_test.py
+++ b/tests/integration/platform_test.py
@@ -4,13 +4,14 @@
 
 from harness import Harness, run_tests, wait_until
 from platform_mesh import FIRST_ROUTES, Instance, config
-from platform_standins import PlatformStore
+from platform_standins import PlatformStore, ReportingServer
 
 READY_S = 10    # until started nodes are ready
 APPLY_S = 2     # until an accepted configuration is in force
 JOINED_S = 1.2  # until nodes that start together have joined; they look for others after 2 s
 EVACUATE_S = 3  # until a data centre that was taken out gets no new calls
 CONTACT_S = 3   # from the end of an outage until the bounds hold again
+DRAIN_S = 2     # from the acknowledgement of a departure until the server gets no calls
 
 class Platform:
     """A store and four instances in two data centres."""
@@ -150,6 +151,44 @@
         lambda store: store.put("op/config", config(7, FIRST_ROUTES)))
 
 
+def check_departure_outlives_the_node(depart, late_s):
+    """Restarts a node right after it has acknowledged a departure of its server, and sends the
+    server's report that was under way at the time late. Checks that no call reaches the server."""
+    with Platform() as platform:
+        # The entry prefers servers of its own data centre, that is, the one that leaves.
+        left, entry = platform.instances[1], platform.instances[3]
+        left.server.stopped.set()
+        time.sleep(0.4)  # a report may be under way
+        late_report = left.server.make_report()
+        assert depart(left.server) == 200
+        departed_at = time.monotonic()
+        left.node.kill()
+        left.node.wait(5)
+        left.start()
+        wait_until(left.ready, READY_S, "ready")
+        time.sleep(max(0, departed_at + late_s - time.monotonic()))
+        left.server.report(late_report)
+        until = time.monotonic() + CONTACT_S
+        while time.monotonic() < until:
+            entry.call("/orders/a")
+        late_runs = [at - departed_at for _, at in left.server.runs if at > departed_at + DRAIN_S]
+        assert not late_runs, f"{len(late_runs)} runs, the first {late_runs[0]:.1f} s later"
+
+
+def test_leave_outlives_the_node():
+    """Guards against a leave notice that only the process that acknowledged it knows: the restarted
+    node took a late report for that of a ready server and sent it 68 calls."""
+    check_departure_outlives_the_node(ReportingServer.leave, late_s=3)
+
+
+def test_draining_outlives_the_node():
+    """Guards against the same for a server that reports that it is draining."""
+    def drain(server):
+        server.state = "draining"
+        return server.report()
+    check_departure_outlives_the_node(drain, late_s=2.5)
+
+
 def test_groups_that_started_apart():
     """Guards against nodes that start together, join only each other and never join the rest. In a
     test of one day with a power loss, 3 of 8 runs refused a fifth of the day's calls after it."""
@@ -163,4 +202,5 @@
 if __name__ == "__main__":
     run_tests([test_calls_and_configuration_change, test_drain_and_evacuation,
                test_store_unavailable, test_watches_begun_in_a_silent_outage,
-               test_watches_answered_in_a_silent_outage, test_groups_that_started_apart])
+               test_watches_answered_in_a_silent_outage, test_leave_outlives_the_node,
+               test_draining_outlives_the_node, test_groups_that_started_apart])
--- a/tests/own_server_test.cpp
+++ b/tests/own_server_test.cpp
@@ -113,4 +113,33 @@
     BOOST_TEST((receive(later, make_report("a", 9, 200), much_later) == report_verdict::taken));
 }
 
+// Guards against a late report that revives a server after a departure that a predecessor of this
+// process has acknowledged, whether the report arrives before or after the news of the departure.
+BOOST_AUTO_TEST_CASE(departure_acknowledged_by_a_predecessor_holds) {
+    const server_departure departure{"a", 100};
+    own_server informed;
+    apply_departure(informed, departure, start);
+    BOOST_TEST((receive(informed, make_report("a", 18, 100)) == report_verdict::stale));
+    BOOST_TEST((receive(informed, make_report("a", 1, 101)) == report_verdict::taken));
+    BOOST_TEST((server_refusal(informed, start, silence) == error_kind::none));
+    own_server uninformed;
+    receive(uninformed, make_report("a", 18, 100));
+    BOOST_TEST((server_refusal(uninformed, start, silence) == error_kind::none));
+    apply_departure(uninformed, departure, start);
+    BOOST_TEST((server_refusal(uninformed, start, silence) == error_kind::draining));
+    apply_departure(uninformed, {}, start);
+    BOOST_TEST((receive(uninformed, make_report("b", 1, 200)) == report_verdict::taken));
+    BOOST_TEST((server_refusal(uninformed, start, silence) == error_kind::none));
+}
+
+// Guards against a departure that names no incarnation, so that late reports of it don't match.
+BOOST_AUTO_TEST_CASE(departure_names_the_incarnation) {
+    own_server server;
+    BOOST_TEST((departure_of(server, {"a", 100}, 900) == server_departure{"a", 100}));
+    BOOST_TEST((departure_of(server, {"a", {}}, 900) == server_departure{"a", 900}));
+    receive(server, make_report("a", 1, 300));
+    BOOST_TEST((departure_of(server, {"a", {}}, 900) == server_departure{"a", 300}));
+    BOOST_TEST((departure_of(server, {"b", {}}, 900) == server_departure{"b", 900}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/peer_test.cpp
+++ b/tests/peer_test.cpp
@@ -30,6 +30,7 @@
     out.m_bulk = {"::1", 7003};
     out.m_config_version = 17;
     out.m_ready = true;
+    out.m_departure = {"i-7", 1'750'000'000'000};
     return out;
 }
 
