A fault soak on the platform's interfaces

Change: platform_soak.py plays a store that loses calls, refuses them, cuts watches or drops history, nodes that are killed or paused, servers that depart and are replaced while reports are late, unreadable reports, configurations and evacuations, and checks departures, evacuations, versions, doubled and refused calls against the platform's bounds.

--- a/Makefile
+++ b/Makefile
@@ -127,13 +127,14 @@
 	@mkdir -p $(BUILD)/bin
 	tools/run_integration $(BUILD)/bin
 
-# Runs the fault soak with the seeds in SEED, which is a number, a list such as 4,7 or a range such
+# Runs the fault soaks with the seeds in SEED, which is a number, a list such as 4,7 or a range such
 # as 1..3 (the default). FRESH=N uses N random seeds instead.
 SEED    ?= 1..3
 SECONDS ?= 12
 FRESH   ?= 0
 soak: all
 	python3 tests/soak/soak.py $(BUILD)/bin --seeds $(SEED) --fresh $(FRESH) --seconds $(SECONDS)
+	python3 tests/soak/platform_soak.py $(BUILD)/bin --seeds $(SEED) --fresh $(FRESH) --seconds $(SECONDS)
 
 # Replays the recorded traces; a change that preserves every decision keeps the signature.
 signature: $(BUILD)/bin/replay
