A leave notice of a later incarnation than the known one is kept

Cause: receive_leave took every notice whose start differs from the known report's for a stale one, also a later one, and forgot it. Change: such a notice ends the known incarnation and rejects the late reports of its own. Result: leave_of_a_later_incarnation_is_kept failed before (stale, no refusal) and passes.

--- a/src/decide/own_server.cpp
+++ b/src/decide/own_server.cpp
@@ -79,9 +79,15 @@
         server.m_unmatched_leave_at = now;
         return report_verdict::stale;
     }
-    if (leave.m_started_ms && *leave.m_started_ms != server.m_report->m_started_ms) {
+    if (leave.m_started_ms && *leave.m_started_ms < server.m_report->m_started_ms) {
         return report_verdict::stale;
     }
+    // A notice of a later incarnation, whose first reports are late, also means that the known one
+    // has ended.
+    if (leave.m_started_ms && *leave.m_started_ms > server.m_report->m_started_ms) {
+        server.m_unmatched_leave = leave;
+        server.m_unmatched_leave_at = now;
+    }
     server.m_left = true;
     return report_verdict::taken;
 }
--- a/src/decide/own_server.hpp
+++ b/src/decide/own_server.hpp
@@ -69,7 +69,8 @@
                               const ip_endpoint& own_address, time_point now);
 
 // Processes a leave notice. A notice of an earlier incarnation is stale. A notice of an unknown
-// server is stale, too, but is stored to reject late reports of that server.
+// server is stale, too, but is stored to reject late reports of that server. A notice of a later
+// incarnation than the known one ends both.
 report_verdict receive_leave(own_server& server, const server_leave_notice& leave, time_point now);
 
 // Returns the departure that acknowledging the notice promises to respect. Without a start time in
--- a/tests/own_server_test.cpp
+++ b/tests/own_server_test.cpp
@@ -113,6 +113,20 @@
     BOOST_TEST((receive(later, make_report("a", 9, 200), much_later) == report_verdict::taken));
 }
 
+// Guards against a leave notice that is forgotten because the server has started again under its
+// identity and none of its new reports has arrived yet: the late ones revived the server.
+BOOST_AUTO_TEST_CASE(leave_of_a_later_incarnation_is_kept) {
+    own_server server;
+    receive(server, make_report("a", 9, 100));
+    BOOST_TEST((receive_leave(server, {"a", 200}, start) == report_verdict::taken));
+    BOOST_TEST((server_refusal(server, start, silence) == error_kind::draining));
+    BOOST_TEST((receive(server, make_report("a", 1, 200)) == report_verdict::stale));
+    BOOST_TEST((receive(server, make_report("a", 2, 200)) == report_verdict::stale));
+    BOOST_TEST((server_refusal(server, start, silence) == error_kind::draining));
+    BOOST_TEST((receive(server, make_report("a", 1, 300)) == report_verdict::taken));
+    BOOST_TEST((server_refusal(server, start, silence) == error_kind::none));
+}
+
 // Guards against a late report that revives a server after a departure that a predecessor of this
 // process has acknowledged, whether the report arrives before or after the news of the departure.
 BOOST_AUTO_TEST_CASE(departure_acknowledged_by_a_predecessor_holds) {
