An impossible report no longer makes a server unusable

Callers saw: calls to a server were refused until its node restarted, after another writer had sent one report with a start time or sequence number too large (reported by other operators; shown by a test). Cause: the start time and the sequence number order the reports but had no bounds, so all reports of the real server were stale afterwards. A report of an unknown service, too, replaced the known server. Ruled out: deep nesting and numbers out of range end no node, and odd entry points and move records are skipped one by one.

--- a/src/decide/own_server.cpp
+++ b/src/decide/own_server.cpp
@@ -9,6 +9,9 @@
            server.m_report->m_started_ms == started_ms;
 }
 
+// Maximum time by which the clock of a server is ahead of this node's.
+constexpr std::chrono::hours max_clock_lead{1};
+
 // Within max_report_delay after a leave notice without a start time, a report with a sequence
 // number above this can't come from a new incarnation: its sequence restarts, and a server needs
 // some seconds to stop and start.
@@ -44,6 +47,10 @@
     return "foreign";
 }
 
+bool is_plausible_start(std::int64_t started_ms, std::int64_t now_ms) {
+    return started_ms <= now_ms + milliseconds(max_clock_lead).count();
+}
+
 report_verdict receive_report(own_server& server, const server_report& report,
                               const ip_endpoint& own_address, time_point now) {
     if (report.m_address != own_address) {
--- a/src/decide/own_server.hpp
+++ b/src/decide/own_server.hpp
@@ -40,6 +40,10 @@
 // Reports may arrive this late.
 constexpr milliseconds max_report_delay{6'000};
 
+// Returns whether a server can have started at this time, in Unix milliseconds like now_ms. A start
+// far in the future would make the reports of every later incarnation stale.
+bool is_plausible_start(std::int64_t started_ms, std::int64_t now_ms);
+
 // State of the backend server beside this node.
 struct own_server {
     std::optional<server_report> m_report; // last accepted report of the current incarnation
--- a/src/node/server_reports.cpp
+++ b/src/node/server_reports.cpp
@@ -100,11 +100,44 @@
     replicate_departure(state, respond);
 }
 
+// Decodes a report. Returns nothing and sets reason if it is unreadable, or if it can't come from a
+// server of this mesh: it started in the future, or its service is neither in the configuration nor
+// the one for which this node was set up.
+std::optional<server_report> read_report(const control& state, std::string_view server,
+                                         std::string_view body, error& reason) {
+    auto report = state.m_adapter.m_report_interface.m_decode_report(server, body, reason);
+    if (!report) {
+        return std::nullopt;
+    }
+    if (!is_plausible_start(report->m_started_ms, unix_ms(state.m_clock.wall_now()))) {
+        return fail(reason, error_kind::bad_request, "the start time lies in the future");
+    }
+    const bool known_service =
+        report->m_service == state.m_settings.m_service ||
+        (state.m_mesh && state.m_mesh->m_services.contains(report->m_service));
+    if (!known_service) {
+        return fail(reason, error_kind::bad_request, "the configuration has no such service");
+    }
+    return report;
+}
+
+// Decodes a leave notice. Returns nothing and sets reason if it is unreadable or names a start in
+// the future.
+std::optional<server_leave_notice> read_leave(const control& state, std::string_view server,
+                                              std::string_view body, error& reason) {
+    auto leave = state.m_adapter.m_report_interface.m_decode_leave(server, body, reason);
+    if (leave && leave->m_started_ms &&
+        !is_plausible_start(*leave->m_started_ms, unix_ms(state.m_clock.wall_now()))) {
+        return fail(reason, error_kind::bad_request, "the start time lies in the future");
+    }
+    return leave;
+}
+
 // Handles a report of the server with the given name; answers an unreadable one with 400.
 void handle_report(control& state, std::string_view server, std::string_view body,
                    const admin_responder& respond) {
     error reason;
-    const auto report = state.m_adapter.m_report_interface.m_decode_report(server, body, reason);
+    const auto report = read_report(state, server, body, reason);
     if (!report) {
         log_event(log_level::warning, "server_report_unreadable",
                   {{"server", server}, {"reason", reason.m_text}});
@@ -129,7 +162,7 @@
 void handle_leave(control& state, std::string_view server, std::string_view body,
                   const admin_responder& respond) {
     error reason;
-    const auto leave = state.m_adapter.m_report_interface.m_decode_leave(server, body, reason);
+    const auto leave = read_leave(state, server, body, reason);
     if (!leave) {
         log_event(log_level::warning, "server_leave_unreadable",
                   {{"server", server}, {"reason", reason.m_text}});
--- a/tests/integration/platform_test.py
+++ b/tests/integration/platform_test.py
@@ -2,9 +2,9 @@
 store and backend servers that report themselves."""
 import time
 
-from harness import Harness, run_tests, wait_until
+from harness import Harness, request, run_tests, wait_until
 from platform_mesh import FIRST_ROUTES, Instance, config
-from platform_standins import PlatformStore, ReportingServer
+from platform_standins import PlatformStore, ReportingServer, odd_reports
 
 READY_S = 10    # until started nodes are ready
 APPLY_S = 2     # until an accepted configuration is in force
@@ -189,6 +189,31 @@
     check_departure_outlives_the_node(drain, late_s=2.5)
 
 
+def test_odd_entries_and_reports():
+    """Guards against one odd entry of another writer that ends the nodes that read it, or that
+    makes all reports of a real server count as stale."""
+    odd_values = ["[" * 60_000, '{"port":99999}', "127.0.0.1:99999", "127.0.0.1:" + "9" * 400,
+                  "\x00", ""]
+    with Platform() as platform:
+        for number, value in enumerate(odd_values):
+            platform.store.put(f"caraway/entry/north/odd{number}", value)
+            platform.store.put(f"caraway/entry/{number}", value)
+            platform.store.put(f"status/rollout/odd{number}", value)
+        for instance in platform.instances:
+            for path, body in odd_reports(instance.server):
+                status = request(instance.reports, "POST", path, body, timeout_s=2)[0]
+                assert status == 400, (path, body[:60], status)
+        restarted = platform.instances[0]
+        restarted.node.kill()
+        restarted.start()
+        wait_until(restarted.ready, READY_S, "ready")
+        begin = time.monotonic()
+        wait_until(lambda: [i.call(f"/{i.service}/a") for i in platform.instances] and
+                   all(any(at > begin for _, at in i.server.runs) for i in platform.instances),
+                   5, "calls at all servers")
+        assert all(i.node.running() for i in platform.instances)
+
+
 def test_groups_that_started_apart():
     """Guards against nodes that start together, join only each other and never join the rest. In a
     test of one day with a power loss, 3 of 8 runs refused a fifth of the day's calls after it."""
@@ -203,4 +228,5 @@
     run_tests([test_calls_and_configuration_change, test_drain_and_evacuation,
                test_store_unavailable, test_watches_begun_in_a_silent_outage,
                test_watches_answered_in_a_silent_outage, test_leave_outlives_the_node,
-               test_draining_outlives_the_node, test_groups_that_started_apart])
+               test_draining_outlives_the_node, test_odd_entries_and_reports,
+               test_groups_that_started_apart])
--- a/tests/own_server_test.cpp
+++ b/tests/own_server_test.cpp
@@ -146,6 +146,16 @@
     BOOST_TEST((server_refusal(uninformed, start, silence) == error_kind::none));
 }
 
+// Guards against a report or leave notice of another writer whose start lies so far in the future
+// that all reports of the real server count as stale.
+BOOST_AUTO_TEST_CASE(start_in_the_future_is_implausible) {
+    constexpr std::int64_t now_ms = 1'800'000'000'000;
+    BOOST_TEST(is_plausible_start(0, now_ms));
+    BOOST_TEST(is_plausible_start(now_ms, now_ms));
+    BOOST_TEST(is_plausible_start(now_ms + 60'000, now_ms)); // the clocks differ
+    BOOST_TEST(!is_plausible_start(now_ms + 86'400'000, now_ms));
+}
+
 // Guards against a departure that names no incarnation, so that late reports of it don't match.
 BOOST_AUTO_TEST_CASE(departure_names_the_incarnation) {
     own_server server;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -138,7 +138,7 @@
     BOOST_TEST(read->m_sequence == 4U);
     BOOST_TEST(read->m_started_ms == 1'700'000'000'000);
     BOOST_TEST((read->m_warmup_left == milliseconds(1'500)));
-    const std::vector<std::pair<std::string_view, std::string_view>> faults{
+    const std::vector<std::pair<std::string_view, std::string>> faults{
         {R"("state":"ready")", R"("state":"resting")"},
         {R"("call_seq":4)", R"("call_seq":"4")"},
         {R"("slots":12)", R"("slots":0)"},
@@ -146,17 +146,27 @@
         {R"("service":"s1",)", ""},
         {R"("born":1700000000000)", R"("born":1.5)"},
         {R"("address":"10.1.0.2:80")", R"("address":"somewhere")"},
+        {R"("address":"10.1.0.2:80")", R"("address":"10.1.0.2:65536")"},
+        {R"("born":1700000000000)", R"("born":9223372036854775807)"},
+        {R"("born":1700000000000)", R"("born":18446744073709551615)"},
+        {R"("born":1700000000000)", R"("born":1e400)"},
+        {R"("call_seq":4)", R"("call_seq":18446744073709551615)"},
+        {R"("call_seq":4)", R"("call_seq":99999999999999999999)"},
+        {R"("warmup_left_ms":1500)", R"("warmup_left_ms":9999999999999)"},
+        {R"("state":"ready")", R"("state":)" + std::string(100'000, '[')},
         {"}}", "}"}};
     for (const auto& [from, to] : faults) {
+        const std::string shown = to.substr(0, 100);
         BOOST_TEST(!platform::decode_report("i-1", with_replacement(report_text, from, to), reason),
-                   to);
-        BOOST_TEST((reason.m_kind == error_kind::bad_request), to);
+                   shown);
+        BOOST_TEST((reason.m_kind == error_kind::bad_request), shown);
     }
     BOOST_TEST(!platform::decode_report("", report_text, reason));
     BOOST_TEST(!platform::decode_leave("", "", reason));
     BOOST_TEST(platform::decode_leave("i-1", "", reason).has_value());
     BOOST_TEST(*platform::decode_leave("i-1", R"({"born":8})", reason)->m_started_ms == 8);
     BOOST_TEST(!platform::decode_leave("i-1", R"({"born":"8"})", reason));
+    BOOST_TEST(!platform::decode_leave("i-1", R"({"born":9223372036854775807})", reason));
 }
 
 // Guards against confusing store errors: a lost lease, an absent key, a rejected operation that had
--- a/tests/soak/platform_soak.py
+++ b/tests/soak/platform_soak.py
@@ -6,7 +6,7 @@
 For each seed, injects overlapping faults while clients call through one node that is spared: the
 store loses calls, refuses them, cuts its watches or drops its history; nodes are killed or paused;
 servers leave, drain and are replaced while their reports arrive late; another writer sends
-unreadable reports; the operators change the configuration and take a data centre out. Then checks
+odd reports; the operators change the configuration and take a data centre out. Then checks
 the promises from what clients, servers and operators have seen, and that changes are in force in
 time once all faults are over. Prints one line per seed and exits with 1 if a promise was broken.
 """
@@ -26,7 +26,7 @@
 
 from harness import Harness, request, wait_until  # noqa: E402
 from platform_mesh import Instance, config  # noqa: E402
-from platform_standins import PlatformStore  # noqa: E402
+from platform_standins import PlatformStore, odd_reports  # noqa: E402
 from soak import parse_seeds  # noqa: E402
 
 # The platform's bounds. They hold at a time if there was no fault in the CONTACT_S before it.
@@ -38,8 +38,6 @@
 MAX_REPORT_DELAY_S = 4.0
 BASE_ROUTES = [("/stock/", "non_idempotent", {"service": "stock"})]
 EXTRA_ROUTE = ("/extra/", "idempotent", {"service": "stock"})
-ODD_REPORTS = [b"[" * 20_000, b"\xff\xfe", b"{}", b'{"born":1e999}',
-               b'{"address":"127.0.0.1:99999","born":1,"info":{},"status":{}}']
 
 
 class PlatformSoak:
@@ -136,8 +134,11 @@
         self.servers.append((worker, worker.server))
 
     def send_odd_report(self, rng, worker):
-        request(worker.reports, "POST", "/api/Instances.Heartbeat/i-odd", rng.choice(ODD_REPORTS),
-                timeout_s=2)
+        path, body = rng.choice(odd_reports(worker.server))
+        try:
+            request(worker.reports, "POST", path, body, timeout_s=2)
+        except OSError:
+            pass  # the node is down or paused
 
     def change_config(self, _):
         self.write_config(not self.versions[-1][1])
