--- a/src/node/accepter.cpp
+++ b/src/node/accepter.cpp
@@ -408,8 +408,9 @@
     });
 }
 
-// Waits for a change of the submitted text or its delta for at most `store_watch_wait`. The accepted
-// record is read again after each change, and at the interval at which watches may miss one.
+// Waits for a change of the submitted text or its delta for at most `store_watch_wait`. The
+// accepted record is read again after each change, and at the interval at which watches may miss
+// one.
 void watch_submitted_text(control& state) {
     accepter_role& role = state.m_accepter;
     state.m_store->watch_keys(submitted_text_key, role.m_listed_revision, store_watch_wait,
