--- a/src/decide/replication.cpp
+++ b/src/decide/replication.cpp
@@ -15,6 +15,7 @@
     }
     live.resize(std::min(live.size(), max_replicas));
     std::vector<ip_endpoint> addresses;
+    addresses.reserve(live.size());
     for (const member* replica : live) {
         addresses.push_back(replica->m_bulk);
     }
--- a/tests/replication_test.cpp
+++ b/tests/replication_test.cpp
@@ -12,6 +12,7 @@
 std::vector<replication_result> results_of(const std::vector<bool>& confirmed) {
     replication_round round = begin_round(confirmed.size());
     std::vector<replication_result> results;
+    results.reserve(confirmed.size());
     for (const bool reply : confirmed) {
         results.push_back(count_reply(round, reply));
     }
