Split what stood together or twice: item texts, entry points, the soaks' schedule (no change of behaviour)

Cause: operator_watch.cpp also held the text format of the items and the writing of entry points, which join.cpp uses; the two soaks had the schedule of faults and the run of a list of seeds each. Change: config/item_text, join.cpp and tests/soak/runner.py hold them. The platform soak draws its faults like the other soak now, so its seeds play other faults than before.

--- a/src/node/config_sync.cpp
+++ b/src/node/config_sync.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "base/hash.hpp"
+#include "config/item_text.hpp"
 #include "node/control.hpp"
 #include "node/recorded.hpp"
 #include "observe/log.hpp"
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -320,18 +320,11 @@
 void refresh_snapshot(control& state);
 
 // operator_watch.cpp: reading and watching the operators' items (configuration and move orders) in
-// the store, and writing entry points.
+// the store.
 
-// Writes a member's address to an entry point slot of the own data centre, for joining nodes.
-void write_entry_point(control& state, const std::string& slot, const ip_endpoint& address);
 // Keeps the operators' items up to date by lists and watches while this node is one of the watching
 // members. Other nodes read them only if no member supplies them.
 void tick_operator_watch(control& state, time_point now);
-// Encodes all items as one text; decode_items returns the items of such a text, or nullopt if it is
-// malformed.
-std::string encode_items(std::span<const store_entry> items);
-std::optional<std::vector<store_entry>> decode_items(std::string_view text);
-
 // server_reports.cpp: reports of the backend server beside this node.
 
 // Returns the view of the own server for the traffic threads.
--- a/src/node/join.cpp
+++ b/src/node/join.cpp
@@ -178,6 +178,24 @@
     join_through_random(state, unknown_entry_points(state.m_members, state.m_join.m_entry_points));
 }
 
+// Writes a member's address to an entry point slot of the own data centre, for joining nodes. The
+// entry has no lease: an entry that outlives its node costs a joining node one attempt, whereas a
+// lease would cost a call every few seconds.
+void write_entry_point(control& state, const std::string& slot, const ip_endpoint& address) {
+    const std::string key =
+        std::string(entry_point_prefix) + state.m_settings.m_data_centre + "/" + slot;
+    state.m_store->put(key, format_endpoint(address), std::nullopt, {},
+                       [&state, slot](const store_reply& reply) {
+                           const bool written = reply.m_kind == error_kind::none;
+                           log_event(log_level::info, "entry_point_written",
+                                     {{"slot", slot}, {"written", written}});
+                           state.m_operator.m_entry_written |= written;
+                           if (!state.m_operator.m_entry_written) {
+                               state.m_operator.m_slot_check_at = state.now() + store_retry_pause;
+                           }
+                       });
+}
+
 // Writes the address of a live member to each slot whose entry point was not a known member's
 // address at two discoveries in a row, as happens after the loss of an instance.
 void replace_unknown_entries(control& state) {
--- a/src/node/operator_watch.cpp
+++ b/src/node/operator_watch.cpp
@@ -6,9 +6,8 @@
 
 #include <algorithm>
 
-#include <boost/json.hpp>
-
 #include "base/hash.hpp"
+#include "config/item_text.hpp"
 #include "decide/hedged_read.hpp"
 #include "node/control.hpp"
 #include "node/recorded.hpp"
@@ -276,57 +275,6 @@
 
 } // namespace
 
-std::string encode_items(std::span<const store_entry> items) {
-    boost::json::array rows;
-    for (const store_entry& item : items) {
-        rows.push_back(boost::json::array{item.m_key, item.m_revision, item.m_value});
-    }
-    return boost::json::serialize(rows);
-}
-
-std::optional<std::vector<store_entry>> decode_items(std::string_view text) {
-    boost::json::error_code parse_error;
-    const boost::json::value parsed =
-        boost::json::parse(boost::json::string_view(text.data(), text.size()), parse_error);
-    if (parse_error || !parsed.is_array()) {
-        return std::nullopt;
-    }
-    std::vector<store_entry> items;
-    for (const boost::json::value& row_value : parsed.get_array()) {
-        const auto* row = row_value.if_array();
-        if (row == nullptr || row->size() != 3 || !(*row)[0].is_string() ||
-            !(*row)[2].is_string()) {
-            return std::nullopt;
-        }
-        store_entry item;
-        item.m_key = std::string((*row)[0].get_string());
-        item.m_revision = (*row)[1].to_number<std::uint64_t>(parse_error);
-        item.m_value = std::string((*row)[2].get_string());
-        if (parse_error) {
-            return std::nullopt;
-        }
-        items.push_back(std::move(item));
-    }
-    return items;
-}
-
-// Writes the entry without a lease: an entry that outlives its node costs a joining node one
-// attempt, whereas a lease would cost a call every few seconds.
-void write_entry_point(control& state, const std::string& slot, const ip_endpoint& address) {
-    const std::string key =
-        std::string(entry_point_prefix) + state.m_settings.m_data_centre + "/" + slot;
-    state.m_store->put(key, format_endpoint(address), std::nullopt, {},
-                       [&state, slot](const store_reply& reply) {
-                           const bool written = reply.m_kind == error_kind::none;
-                           log_event(log_level::info, "entry_point_written",
-                                     {{"slot", slot}, {"written", written}});
-                           state.m_operator.m_entry_written |= written;
-                           if (!state.m_operator.m_entry_written) {
-                               state.m_operator.m_slot_check_at = state.now() + store_retry_pause;
-                           }
-                       });
-}
-
 void tick_operator_watch(control& state, time_point now) {
     operator_watch& watch = state.m_operator;
     if (watch.m_start_at == time_point{}) {
--- a/tests/soak/platform_soak.py
+++ b/tests/soak/platform_soak.py
@@ -18,23 +18,19 @@
 import sys
 import threading
 import time
-import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "tests", "integration"))
-sys.path.insert(0, os.path.join(ROOT, "tests", "soak"))
 
 from harness import Harness, request, wait_until  # noqa: E402
 from platform_mesh import Instance, config  # noqa: E402
 from platform_standins import PlatformStore, odd_reports  # noqa: E402
-from soak import parse_seeds  # noqa: E402
+from runner import FaultSchedule, add_seed_arguments, parse_seeds, run_seeds  # noqa: E402
 
 # The platform's bounds. They hold at a time if there was no fault in the CONTACT_S before it.
 CONTACT_S, APPLY_S, EVACUATE_S, DRAIN_S = 3, 2, 5, 2
 READY_S = 15            # until all nodes are ready
 CLIENTS, CLIENT_GAP_S = 4, 0.02
-FAULT_PAUSE_S = (0.1, 0.8)  # bounds of the random time between two faults
-MAX_CONCURRENT_FAULTS = 3
 MAX_REPORT_DELAY_S = 4.0
 BASE_ROUTES = [("/stock/", "non_idempotent", {"service": "stock"})]
 EXTRA_ROUTE = ("/extra/", "idempotent", {"service": "stock"})
@@ -43,12 +39,13 @@
 class PlatformSoak:
     """The run of one seed: the nodes, the faults and the times from which the promises follow."""
 
-    def __init__(self, harness, seed):
+    def __init__(self, harness, seed, faults):
         self.rng, self.harness, self.store = random.Random(seed), harness, PlatformStore()
+        self.faults, self.schedule = faults, FaultSchedule(self.rng, faults, self.next_fault)
         self.outages, self.disturbances = [], {}  # [begin, end] of the store, and by instance
         self.departures, self.evacuations, self.versions = [], [], []
-        self.calls, self.probes, self.servers, self.faults, self.errors = [], [], [], [], []
-        self.held, self.stopping, self.lock = set(), threading.Event(), threading.Lock()
+        self.calls, self.probes, self.servers = [], [], []
+        self.stopping = threading.Event()
 
     def start(self):
         self.write_config(False)
@@ -152,7 +149,7 @@
         self.store.delete("op/evacuate/south")
 
     def next_fault(self):
-        """Picks a fault. Returns its name, what no other fault may use meanwhile, and its action."""
+        """Picks a fault for the schedule."""
         kind, action, target = self.rng.choice([
             ("silence", self.silence_store, "store"), ("silence", self.silence_store, "store"),
             ("down", self.stop_store, "store"), ("history", self.drop_history, "store"),
@@ -161,32 +158,9 @@
             ("odd", self.send_odd_report, None), ("config", self.change_config, "config"),
             ("evacuate", self.evacuate, "evacuate")])
         if target is not None:
-            return kind, target, action
+            return kind, {target}, action
         worker = self.rng.choice(self.workers)
-        return f"{kind} {worker.name}", worker.name, lambda rng: action(rng, worker)
-
-    def perform(self, name, target, action, seed):
-        self.faults.append(name)
-        try:
-            action(random.Random(seed))
-        except Exception as error:
-            self.errors.append(f"{name}: {type(error).__name__}: {error}")
-        self.held.discard(target)
-
-    def run_faults(self, seconds):
-        threads, until = [], time.monotonic() + seconds
-        while time.monotonic() < until:
-            time.sleep(self.rng.uniform(*FAULT_PAUSE_S))
-            threads = [t for t in threads if t.is_alive()]
-            name, target, action = self.next_fault()
-            if len(threads) >= MAX_CONCURRENT_FAULTS or target in self.held:
-                continue
-            self.held.add(target)
-            threads.append(threading.Thread(target=self.perform,
-                                            args=(name, target, action, self.rng.random())))
-            threads[-1].start()
-        for thread in threads:
-            thread.join()
+        return f"{kind} {worker.name}", {worker.name}, lambda rng: action(rng, worker)
 
     def keep_calling(self, client):
         number = 0
@@ -207,7 +181,7 @@
         for client in clients:
             client.start()
         try:
-            self.run_faults(seconds)
+            self.schedule.run(seconds)
             time.sleep(CONTACT_S)
             self.write_config(not self.versions[-1][1])
             time.sleep(APPLY_S + 1)
@@ -215,7 +189,7 @@
             self.stopping.set()
             for client in clients:
                 client.join()
-        assert not self.errors, self.errors
+        assert not self.schedule.errors, self.schedule.errors
         self.check_departures()
         self.check_evacuations()
         self.check_versions()
@@ -271,33 +245,15 @@
         assert not refused_but_run, f"refused but run: {refused_but_run[:5]}"
 
 
-def soak(bins, seed, seconds):
-    """Runs one seed and prints its result. Returns whether all promises were kept."""
-    started, soak_run = time.monotonic(), None
-    try:
-        with Harness(bins) as harness:
-            soak_run = PlatformSoak(harness, seed)
-            result, passed = soak_run.run(seconds), True
-    except Exception as error:
-        frame = traceback.extract_tb(error.__traceback__)[-1]
-        result, passed = f"FAILED {type(error).__name__}: {error} at line {frame.lineno}", False
-        result += f"; faults: {', '.join(soak_run.faults if soak_run else [])}"
-    print(f"seed {seed}: {result} ({time.monotonic() - started:.0f} s)", flush=True)
-    return passed
-
-
 def main():
     parser = argparse.ArgumentParser(description="Randomized fault soak on the platform")
-    parser.add_argument("bins")
-    parser.add_argument("--seeds", default="1..3")
-    parser.add_argument("--fresh", type=int, default=0)
-    parser.add_argument("--seconds", type=int, default=15)
+    add_seed_arguments(parser)
     arguments = parser.parse_args()
-    results = [soak(os.path.abspath(arguments.bins), seed, arguments.seconds)
-               for seed in parse_seeds(arguments)]
-    print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
-    sys.stdout.flush()
-    os._exit(0 if all(results) else 1)
+
+    def play(seed, faults):
+        with Harness(os.path.abspath(arguments.bins)) as harness:
+            return PlatformSoak(harness, seed, faults).run(arguments.seconds)
+    run_seeds(parse_seeds(arguments), play)
 
 
 if __name__ == "__main__":
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,21 +12,18 @@
 import os
 import random
 import sys
-import threading
 import time
-import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "tests", "integration"))
 
 from mesh import Mesh, is_refused, mesh_text, wait_ignoring_errors  # noqa: E402
+from runner import FaultSchedule, add_seed_arguments, parse_seeds, run_seeds  # noqa: E402
 
 KEPT_SEEDS = os.path.join(ROOT, "tests", "soak", "kept_seeds.txt")
 READY_LIMIT_S = 20  # until all nodes are ready after the faults
 IN_FORCE_LIMIT_S = 18  # until an accepted text is in force; limit of design.md
 CALLS_ANSWERED_LIMIT_S = 10  # until every call is answered after the faults
-FAULT_PAUSE_S = (0.2, 1.0)  # bounds of the random time between two faults
-MAX_CONCURRENT_FAULTS = 3
 RATE_PER_S = 60  # calls of each load generator
 # Of more requests of a load and kind than this, a sample of at least this size is checked.
 MIN_CHECKED_REQUESTS = 200
@@ -37,13 +34,13 @@
 class Soak:
     """The run of one seed: the mesh, its faults, and which failures they excuse."""
 
-    def __init__(self, mesh, seed):
-        self.mesh, self.rng = mesh, random.Random(seed)
-        self.held_targets, self.faults, self.data_centres_out = set(), [], set()
+    def __init__(self, mesh, seed, faults):
+        self.mesh, self.rng, self.faults = mesh, random.Random(seed), faults
+        self.schedule = FaultSchedule(self.rng, faults, self.next_fault)
+        self.data_centres_out = set()
         self.killed_servers = set()  # their execution counts are lost
         self.gate_was_killed = False
         self.extra_route_enabled = True
-        self.errors = []
 
     def text(self):
         routes = {"/read": {"service": "work", "timeout": "2s", "idempotent": True},
@@ -65,7 +62,7 @@
 
     def pick_free_node(self):
         """Returns a random node without an active fault, never gate-0; None if there is none."""
-        names = [n for n in self.mesh.instances if n != "gate-0" and n not in self.held_targets]
+        names = [n for n in self.mesh.instances if n != "gate-0" and n not in self.schedule.held_targets]
         return self.rng.choice(names) if names else None
 
     # Each of these methods injects one fault, with a random generator of its own, and returns after
@@ -166,29 +163,6 @@
                    "links": lambda rng: self.inject_link_fault(rng, name)}
         return f"{kind} {name}", {name}, actions[kind]
 
-    def run_faults(self, seconds):
-        threads, until = [], time.monotonic() + seconds
-        while time.monotonic() < until:
-            time.sleep(self.rng.uniform(*FAULT_PAUSE_S))
-            threads = [t for t in threads if t.is_alive()]
-            fault = self.next_fault() if len(threads) < MAX_CONCURRENT_FAULTS else None
-            if fault is None or fault[1] & self.held_targets:
-                continue
-            thread = threading.Thread(target=self.perform, args=(*fault, self.rng.random()))
-            thread.start()
-            threads.append(thread)
-        for thread in threads:
-            thread.join()
-
-    def perform(self, name, targets, action, seed):
-        self.held_targets |= targets
-        self.faults.append(name)
-        try:
-            action(random.Random(seed))
-        except Exception as error:  # a process that doesn't restart is a failure
-            self.errors.append(f"{name}: {type(error).__name__}: {error}")
-        self.held_targets -= targets
-
     def start_load(self, name, gate):
         return self.mesh.start_load(name, "--path", "/read/a", "--path", "/book/b",
                                     "--rate", RATE_PER_S, "--duration-s", self.seconds,
@@ -199,9 +173,9 @@
         self.seconds = seconds
         self.start()
         loads = [self.start_load(f"callers-{i}", f"gate-{i}") for i in range(GATE_COUNT)]
-        self.run_faults(seconds)
+        self.schedule.run(seconds)
         summaries = [self.mesh.summary(load) for load in loads]
-        assert not self.errors, self.errors
+        assert not self.schedule.errors, self.schedule.errors
         self.check_callers(summaries)
         counted_names = [n for n in self.mesh.instances if n not in self.killed_servers]
         for load in loads:
@@ -256,47 +230,21 @@
         return f"ready after {ready:.1f} s, in force after {in_force_s:.1f} s"
 
 
-def soak(bins, seed, seconds):
-    """Runs one seed and prints its result. Returns whether all guarantees held."""
-    started, soak_run = time.monotonic(), None
-    try:
-        with Mesh(bins, proxied=True) as mesh:
-            soak_run = Soak(mesh, seed)
-            result, passed = soak_run.run(seconds), True
-    except Exception as error:
-        frame = traceback.extract_tb(error.__traceback__)[-1]
-        result, passed = f"FAILED {type(error).__name__}: {error} at line {frame.lineno}", False
-        result += f"; faults: {', '.join(soak_run.faults if soak_run else [])}"
-    print(f"seed {seed}: {result} ({time.monotonic() - started:.0f} s)", flush=True)
-    return passed
-
-
 def kept_seeds():
     with open(KEPT_SEEDS) as kept:
         return [int(line.split()[0]) for line in kept if line[:1].isdigit()]
 
 
-def parse_seeds(arguments):
-    if arguments.fresh:
-        return [int.from_bytes(os.urandom(4), "big") for _ in range(arguments.fresh)]
-    first, _, last = arguments.seeds.partition("..")
-    if last:
-        return list(range(int(first), int(last) + 1))
-    return [int(seed) for seed in arguments.seeds.split(",")]
-
-
 def main():
     parser = argparse.ArgumentParser(description="Randomized fault soak")
-    parser.add_argument("bins")
-    parser.add_argument("--seeds", default="1..3")
-    parser.add_argument("--fresh", type=int, default=0)
+    add_seed_arguments(parser)
     parser.add_argument("--kept", action="store_true")
-    parser.add_argument("--seconds", type=int, default=12)
     arguments = parser.parse_args()
-    seeds = parse_seeds(arguments) + (kept_seeds() if arguments.kept else [])
-    results = [soak(arguments.bins, seed, arguments.seconds) for seed in seeds]
-    print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
-    sys.exit(0 if all(results) else 1)
+
+    def play(seed, faults):
+        with Mesh(arguments.bins, proxied=True) as mesh:
+            return Soak(mesh, seed, faults).run(arguments.seconds)
+    run_seeds(parse_seeds(arguments) + (kept_seeds() if arguments.kept else []), play)
 
 
 if __name__ == "__main__":
