--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -4,6 +4,7 @@
 conditional writes and leases; with down set it refuses every call, with silent set it loses it.
 """
 import base64
+import http.client
 import http.server
 import json
 import socket
@@ -274,7 +275,7 @@
             return request(self.reports_address, "POST",
                            "/api/Instances.Heartbeat/" + self.instance_id,
                            value.encode(), timeout_s=1)[0]
-        except OSError:
+        except (OSError, http.client.HTTPException):
             return None
 
     def leave(self, value="{}"):
@@ -283,7 +284,7 @@
             return request(self.reports_address, "POST",
                            "/api/Instances.Deregister/" + self.instance_id, value.encode(),
                            timeout_s=1)[0]
-        except OSError:
+        except (OSError, http.client.HTTPException):
             return None
 
     def end(self):
