--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -325,6 +325,7 @@
 // Keeps the operators' items up to date by lists and watches while this node is one of the watching
 // members. Other nodes read them only if no member supplies them.
 void tick_operator_watch(control& state, time_point now);
+
 // server_reports.cpp: reports of the backend server beside this node.
 
 // Returns the view of the own server for the traffic threads.
--- a/src/node/server_reports.cpp
+++ b/src/node/server_reports.cpp
@@ -100,18 +100,24 @@
     replicate_departure(state, respond);
 }
 
+// Returns whether a server can have started at this time; otherwise sets reason.
+bool check_start(const control& state, std::int64_t started_ms, error& reason) {
+    if (is_plausible_start(started_ms, unix_ms(state.m_clock.wall_now()))) {
+        return true;
+    }
+    fail(reason, error_kind::bad_request, "the start time lies in the future");
+    return false;
+}
+
 // Decodes a report. Returns nothing and sets reason if it is unreadable, or if it can't come from a
 // server of this mesh: it started in the future, or its service is neither in the configuration nor
 // the one for which this node was set up.
 std::optional<server_report> read_report(const control& state, std::string_view server,
                                          std::string_view body, error& reason) {
     auto report = state.m_adapter.m_report_interface.m_decode_report(server, body, reason);
-    if (!report) {
+    if (!report || !check_start(state, report->m_started_ms, reason)) {
         return std::nullopt;
     }
-    if (!is_plausible_start(report->m_started_ms, unix_ms(state.m_clock.wall_now()))) {
-        return fail(reason, error_kind::bad_request, "the start time lies in the future");
-    }
     const bool known_service =
         report->m_service == state.m_settings.m_service ||
         (state.m_mesh && state.m_mesh->m_services.contains(report->m_service));
@@ -126,9 +132,8 @@
 std::optional<server_leave_notice> read_leave(const control& state, std::string_view server,
                                               std::string_view body, error& reason) {
     auto leave = state.m_adapter.m_report_interface.m_decode_leave(server, body, reason);
-    if (leave && leave->m_started_ms &&
-        !is_plausible_start(*leave->m_started_ms, unix_ms(state.m_clock.wall_now()))) {
-        return fail(reason, error_kind::bad_request, "the start time lies in the future");
+    if (leave && leave->m_started_ms && !check_start(state, *leave->m_started_ms, reason)) {
+        return std::nullopt;
     }
     return leave;
 }
--- a/src/traffic/backend_side.cpp
+++ b/src/traffic/backend_side.cpp
@@ -6,6 +6,7 @@
 #include "config/mesh.hpp"
 #include "decide/pushback.hpp"
 #include "observe/log.hpp"
+#include "traffic/server_answer.hpp"
 
 namespace caraway {
 namespace {
@@ -84,45 +85,6 @@
     return std::nullopt;
 }
 
-// Statuses with which a server can state that it did not run the request.
-constexpr std::array<unsigned, 4> not_run_statuses{400, 421, 429, 503};
-constexpr unsigned misdirected_status = 421;
-
-// How an answer relates to the request on whose connection it was read.
-enum class answer_match : std::uint8_t {
-    own,     // answers this request
-    other,   // answers another request, as from a server that mixes up its answers
-    unclear, // names no request, and may be a late answer to an earlier one on the connection
-};
-
-// Returns true if the answer rejects the request because it was meant for another server. Such an
-// answer is true of every request for that other server, so it needs no request number.
-bool is_misdirected(const traffic_context& context, const http_response& answer,
-                    const http_request& request) {
-    const edge_headers& edge = context.m_settings.m_edge_headers;
-    const std::string_view identity = header_value(answer, edge.m_server_identity);
-    return answer.result_int() == misdirected_status && !identity.empty() &&
-           identity != header_value(request, edge.m_expected_server);
-}
-
-// Relates an answer to the request. On the first request of a connection, an answer without a
-// number can only be its own.
-answer_match match_answer(const traffic_context& context, const http_response& answer,
-                          const http_request& request, bool first_request) {
-    const edge_headers& edge = context.m_settings.m_edge_headers;
-    const std::string_view expected = header_value(request, edge.m_request_number);
-    const std::string_view number = header_value(answer, edge.m_request_number);
-    if (expected.empty() || number == expected) {
-        return answer_match::own;
-    }
-    if (!number.empty()) {
-        return answer_match::other;
-    }
-    const bool attributable =
-        !edge.m_servers_echo_number || first_request || is_misdirected(context, answer, request);
-    return attributable ? answer_match::own : answer_match::unclear;
-}
-
 // Logs the start of a run, directly before the first byte is sent. The auditor counts runs by this
 // line.
 void log_call_start(const call_info& info, std::string_view version) {
@@ -151,33 +113,13 @@
     set_numeric_header(request, header::hop, info.m_hop);
 }
 
-// Converts a response that states that the request did not run into a refusal. Converts a response
-// without the marker that the server sets on all its responses into connection_cut.
-void classify_answer(const traffic_context& context, connection& open_connection,
-                     server_result& result) {
-    const edge_headers& edge = context.m_settings.m_edge_headers;
-    const unsigned status = result.m_answer->result_int();
-    const bool may_mean_not_run = std::find(not_run_statuses.begin(), not_run_statuses.end(),
-                                            status) != not_run_statuses.end();
-    if (status == misdirected_status && !edge.m_expected_server.empty()) {
-        result.m_answer.reset();
-        result.m_sent = false;
-        fail(result.m_reason, error_kind::version_not_served,
-             "another backend server has the address");
-        return;
-    }
-    if (may_mean_not_run && !header_value(*result.m_answer, edge.m_not_run).empty()) {
-        result.m_answer.reset();
-        result.m_sent = false;
-        fail(result.m_reason, error_kind::backend_shed, "the backend server is overloaded");
-        return;
-    }
-    if (!edge.m_server_marker.empty() &&
-        header_value(*result.m_answer, edge.m_server_marker).empty()) {
-        open_connection.m_reusable = false;
-        result.m_answer.reset();
-        fail(result.m_reason, error_kind::connection_cut, "the answer lacks the server's seal");
-    }
+// Replaces an answer that can't be passed on by the reason why.
+void reject_answer(connection& open_connection, error reason, server_result& result) {
+    const bool not_run = error_info_for(reason.m_kind).m_outcome == outcome::not_run;
+    open_connection.m_reusable &= not_run;
+    result.m_sent = !not_run;
+    result.m_answer.reset();
+    result.m_reason = std::move(reason);
 }
 
 // Sends the request over an open connection and classifies the result.
@@ -195,9 +137,10 @@
     set_numeric_header(request, context.m_settings.m_edge_headers.m_deadline_ms, left_ms);
     log_call_start(info, info.m_version);
     result.m_sent = true;
+    const edge_headers& edge = context.m_settings.m_edge_headers;
     const bool first_request = open_connection.m_first_request;
-    const auto match = [&context, &request, first_request](const http_response& answer) {
-        return match_answer(context, answer, request, first_request);
+    const auto match = [&edge, &request, first_request](const http_response& answer) {
+        return match_answer(edge, answer, request, first_request);
     };
     // After an unclear answer, the own one may still follow. An idempotent request isn't kept
     // waiting for it, since it can be sent again.
@@ -210,13 +153,9 @@
     if (!result.m_answer) {
         return result;
     }
-    if (match(*result.m_answer) == answer_match::unclear) {
-        open_connection.m_reusable = false;
-        result.m_answer.reset();
-        fail(result.m_reason, error_kind::connection_cut, "the answer names no request");
-        return result;
+    if (auto reason = rejection_reason(edge, *result.m_answer, match(*result.m_answer))) {
+        reject_answer(open_connection, std::move(*reason), result);
     }
-    classify_answer(context, open_connection, result);
     return result;
 }
 
--- /dev/null
+++ b/src/traffic/server_answer.hpp
@@ -0,0 +1,33 @@
+// What an answer of the own backend server says about the request on whose connection it was read.
+// Pure functions.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "base/error.hpp"
+#include "config/settings.hpp"
+#include "traffic/http_message.hpp"
+
+namespace caraway {
+
+// How an answer relates to the request on whose connection it was read.
+enum class answer_match : std::uint8_t {
+    own,     // answers this request
+    other,   // answers another request, as from a server that mixes up its answers
+    unclear, // names no request, and may be a late answer to an earlier one on the connection
+};
+
+// Relates an answer to the request. On the first request of a connection, an answer without a
+// number can only be its own.
+answer_match match_answer(const edge_headers& edge, const http_response& answer,
+                          const http_request& request, bool first_request);
+
+// Returns why an answer can't be passed on as the result of the request, or nothing if it can:
+// version_not_served or backend_shed if the server states that the request did not run, or
+// connection_cut if the answer is unclear or lacks the marker that the server sets on all its
+// answers.
+std::optional<error> rejection_reason(const edge_headers& edge, const http_response& answer,
+                                      answer_match match);
+
+} // namespace caraway
