--- a/tests/integration/platform_mesh.py
+++ b/tests/integration/platform_mesh.py
@@ -75,7 +75,7 @@
                                        ready="node_started")
 
     def replace_server(self, instance_id=None):
-        """Ends the server and starts another one at its address, with a new identity or this one."""
+        """Ends the server and starts another one at its address, by default with a new identity."""
         self.server.end()
         self.server = ReportingServer(self.service, self.data_centre, self.reports,
                                       port=self.server.port, instance_id=instance_id)
--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -300,7 +300,7 @@
             self.report()
 
 
-def odd_reports(server):
+def invalid_reports(server):
     """Returns unreadable and impossible reports and leave notices, as (path, body)."""
     report = json.loads(server.make_report())
     impossible = [{**report, "born": 2**63 - 1}, {**report, "born": 10**15},
@@ -310,7 +310,8 @@
                   {**report, "address": "127.0.0.1:99999"}]
     bodies = [b"[" * 60_000, b"\xff\xfe", b'{"born":1e999}', b'{"born":' + b"9" * 400 + b"}",
               *(json.dumps(value).encode() for value in impossible)]
-    names = (server.instance_id, "i-odd")
-    odd = [("/api/Instances.Heartbeat/" + name, body) for name in names for body in bodies]
-    return odd + [("/api/Instances.Deregister/" + name, b'{"born":%d}' % born)
-                  for name in names for born in (10**15, 2**63 - 1, 2**64 - 1)]
+    names = (server.instance_id, "i-other")
+    reports = [("/api/Instances.Heartbeat/" + name, body) for name in names for body in bodies]
+    notices = [("/api/Instances.Deregister/" + name, b'{"born":%d}' % born)
+               for name in names for born in (10**15, 2**63 - 1, 2**64 - 1)]
+    return reports + notices
--- a/tests/integration/platform_test.py
+++ b/tests/integration/platform_test.py
@@ -4,7 +4,7 @@
 
 from harness import Harness, request, run_tests, wait_until
 from platform_mesh import FIRST_ROUTES, Instance, config
-from platform_standins import PlatformStore, ReportingServer, odd_reports
+from platform_standins import PlatformStore, ReportingServer, invalid_reports
 
 READY_S = 10    # until started nodes are ready
 APPLY_S = 2     # until an accepted configuration is in force
@@ -146,7 +146,7 @@
 
 
 def test_watches_answered_in_a_silent_outage():
-    """Guards against a watch whose answer was lost, which looks like one that waits for a change."""
+    """Guards against a watch whose answer was lost, which looks like one that still waits."""
     check_change_after_silence(
         lambda store: store.put("op/config", config(7, FIRST_ROUTES)))
 
@@ -189,18 +189,18 @@
     check_departure_outlives_the_node(drain, late_s=2.5)
 
 
-def test_odd_entries_and_reports():
-    """Guards against one odd entry of another writer that ends the nodes that read it, or that
+def test_invalid_entries_and_reports():
+    """Guards against one invalid entry of another writer that ends the nodes that read it, or that
     makes all reports of a real server count as stale."""
-    odd_values = ["[" * 60_000, '{"port":99999}', "127.0.0.1:99999", "127.0.0.1:" + "9" * 400,
+    invalid_values = ["[" * 60_000, '{"port":99999}', "127.0.0.1:99999", "127.0.0.1:" + "9" * 400,
                   "\x00", ""]
     with Platform() as platform:
-        for number, value in enumerate(odd_values):
-            platform.store.put(f"caraway/entry/north/odd{number}", value)
+        for number, value in enumerate(invalid_values):
+            platform.store.put(f"caraway/entry/north/invalid{number}", value)
             platform.store.put(f"caraway/entry/{number}", value)
-            platform.store.put(f"status/rollout/odd{number}", value)
+            platform.store.put(f"status/rollout/invalid{number}", value)
         for instance in platform.instances:
-            for path, body in odd_reports(instance.server):
+            for path, body in invalid_reports(instance.server):
                 status = request(instance.reports, "POST", path, body, timeout_s=2)[0]
                 assert status == 400, (path, body[:60], status)
         restarted = platform.instances[0]
@@ -228,5 +228,5 @@
     run_tests([test_calls_and_configuration_change, test_drain_and_evacuation,
                test_store_unavailable, test_watches_begun_in_a_silent_outage,
                test_watches_answered_in_a_silent_outage, test_leave_outlives_the_node,
-               test_draining_outlives_the_node, test_odd_entries_and_reports,
+               test_draining_outlives_the_node, test_invalid_entries_and_reports,
                test_groups_that_started_apart])
--- a/tests/soak/platform_soak.py
+++ b/tests/soak/platform_soak.py
@@ -5,9 +5,8 @@
 
 For each seed, injects overlapping faults while clients call through one node that is spared: the
 store loses calls, refuses them, cuts its watches or drops its history; nodes are killed or paused;
-servers leave, drain and are replaced while their reports arrive late; another writer sends
-odd reports; the operators change the configuration and take a data centre out. Then checks
-the promises from what clients, servers and operators have seen, and that changes are in force in
+servers leave, drain and are replaced while their reports arrive late; another writer sends invalid
+reports; the operators change the configuration and take a data centre out. Then checks the promises from what clients, servers and operators have seen, and that changes are in force in
 time once all faults are over. Prints one line per seed and exits with 1 if a promise was broken.
 """
 import argparse
@@ -24,7 +23,7 @@
 
 from harness import Harness, request, wait_until  # noqa: E402
 from platform_mesh import Instance, config  # noqa: E402
-from platform_standins import PlatformStore, odd_reports  # noqa: E402
+from platform_standins import PlatformStore, invalid_reports  # noqa: E402
 from runner import FaultSchedule, add_seed_arguments, parse_seeds, run_seeds  # noqa: E402
 
 # The platform's bounds. They hold at a time if there was no fault in the CONTACT_S before it.
@@ -130,8 +129,8 @@
         worker.replace_server(server.instance_id if rng.random() < 0.3 else None)
         self.servers.append((worker, worker.server))
 
-    def send_odd_report(self, rng, worker):
-        path, body = rng.choice(odd_reports(worker.server))
+    def send_invalid_report(self, rng, worker):
+        path, body = rng.choice(invalid_reports(worker.server))
         try:
             request(worker.reports, "POST", path, body, timeout_s=2)
         except OSError:
@@ -155,7 +154,7 @@
             ("down", self.stop_store, "store"), ("history", self.drop_history, "store"),
             ("kill", self.restart_node, None), ("pause", self.pause_node, None),
             ("server", self.replace_server, None), ("server", self.replace_server, None),
-            ("odd", self.send_odd_report, None), ("config", self.change_config, "config"),
+            ("report", self.send_invalid_report, None), ("config", self.change_config, "config"),
             ("evacuate", self.evacuate, "evacuate")])
         if target is not None:
             return kind, {target}, action
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -62,7 +62,8 @@
 
     def pick_free_node(self):
         """Returns a random node without an active fault, never gate-0; None if there is none."""
-        names = [n for n in self.mesh.instances if n != "gate-0" and n not in self.schedule.held_targets]
+        held = self.schedule.held_targets
+        names = [n for n in self.mesh.instances if n != "gate-0" and n not in held]
         return self.rng.choice(names) if names else None
 
     # Each of these methods injects one fault, with a random generator of its own, and returns after
