--- a/tests/soak/platform_soak.py
+++ b/tests/soak/platform_soak.py
@@ -6,8 +6,9 @@
 For each seed, injects overlapping faults while clients call through one node that is spared: the
 store loses calls, refuses them, cuts its watches or drops its history; nodes are killed or paused;
 servers leave, drain and are replaced while their reports arrive late; another writer sends invalid
-reports; the operators change the configuration and take a data centre out. Then checks the promises from what clients, servers and operators have seen, and that changes are in force in
-time once all faults are over. Prints one line per seed and exits with 1 if a promise was broken.
+reports; the operators change the configuration and take a data centre out. Then checks the promises
+from what clients, servers and operators have seen, and that changes are in force in time once all
+faults are over. Prints one line per seed and exits with 1 if a promise was broken.
 """
 import argparse
 import collections
