Sort the decisions into folders; config and store no longer include them (no change of behaviour)

Cause: src/decide had 43 files in one folder, and config and store included headers of it and of each other for an address type. Change: src/decide has the folders membership, configuration, traffic, versions and leases. The address type moved to base/endpoint, the adapter of a deployment to node/adapter. Files are moved and includes adapted; no function changed.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 export CCACHE_SLOPPINESS := pch_defines,time_macros
 
 # One static library of platform and all folders under src except those of the programs.
-LIB_SRC  := $(wildcard src/base/*.cpp src/config/*.cpp src/ctl/*.cpp src/decide/*.cpp src/store/*.cpp \
+LIB_SRC  := $(wildcard src/base/*.cpp src/config/*.cpp src/ctl/*.cpp src/decide/*/*.cpp src/store/*.cpp \
               src/peer/*.cpp src/observe/*.cpp src/traffic/*.cpp src/node/*.cpp platform/*.cpp)
 GEN_SRC  := $(wildcard src/peer/gen/*.cc)
 LIB_OBJ  := $(LIB_SRC:%.cpp=$(BUILD)/%.o) $(GEN_SRC:%.cc=$(BUILD)/%.o)
@@ -110,7 +110,7 @@
 
 # Builds the fuzz targets with clang's libFuzzer, if installed. The program runs the target that the
 # environment variable FUZZ_TARGET names.
-LIBFUZZER_SRC := $(wildcard src/base/*.cpp src/config/*.cpp src/decide/*.cpp) src/ctl/audit.cpp \
+LIBFUZZER_SRC := $(wildcard src/base/*.cpp src/config/*.cpp src/decide/*/*.cpp) src/ctl/audit.cpp \
                  src/ctl/records.cpp src/observe/log.cpp src/observe/span.cpp src/peer/wire.cpp \
                  src/store/store_json.cpp src/traffic/http_message.cpp tests/fuzz/targets.cpp \
                  tests/fuzz/libfuzzer_main.cpp
@@ -148,8 +148,8 @@
 	$(MAKE) -j$$(nproc) all
 	tools/bench $(BUILD)/bin
 
-FORMAT_FILES := $(wildcard src/*/*.cpp src/*/*.hpp platform/*.cpp platform/*.hpp standins/*.cpp standins/*.hpp tests/*.cpp \
-                  tests/*.hpp tests/fuzz/*.cpp tests/fuzz/*.hpp bench/*.cpp bench/*.hpp)
+FORMAT_FILES := $(wildcard src/*/*.cpp src/*/*.hpp src/decide/*/*.cpp src/decide/*/*.hpp platform/*.cpp \
+                  platform/*.hpp standins/*.cpp standins/*.hpp tests/*.cpp tests/*.hpp tests/fuzz/*.cpp tests/fuzz/*.hpp bench/*.cpp bench/*.hpp)
 
 check: format tidy
 
--- a/bench/control_cost.cpp
+++ b/bench/control_cost.cpp
@@ -14,7 +14,7 @@
 #include <string>
 #include <vector>
 
-#include "decide/membership.hpp"
+#include "decide/membership/membership.hpp"
 #include "tests/node_schedule.hpp"
 
 using namespace caraway;
--- a/bench/move_simulation.hpp
+++ b/bench/move_simulation.hpp
@@ -14,8 +14,8 @@
 
 #include "base/clock.hpp"
 #include "base/random.hpp"
-#include "decide/balance.hpp"
-#include "decide/version_move.hpp"
+#include "decide/traffic/balance.hpp"
+#include "decide/versions/version_move.hpp"
 
 namespace caraway::bench {
 
--- a/src/ctl/replay_player.hpp
+++ b/src/ctl/replay_player.hpp
@@ -8,11 +8,11 @@
 #include <string_view>
 #include <vector>
 
-#include "decide/admission.hpp"
-#include "decide/distribution.hpp"
-#include "decide/facts.hpp"
-#include "decide/lease.hpp"
-#include "decide/version_move.hpp"
+#include "decide/configuration/distribution.hpp"
+#include "decide/leases/lease.hpp"
+#include "decide/traffic/admission.hpp"
+#include "decide/versions/facts.hpp"
+#include "decide/versions/version_move.hpp"
 
 namespace caraway {
 
--- a/src/decide/acceptance.cpp
+++ b/src/decide/configuration/acceptance.cpp
@@ -1,4 +1,4 @@
-#include "decide/acceptance.hpp"
+#include "decide/configuration/acceptance.hpp"
 
 #include <algorithm>
 #include <boost/json.hpp>
--- a/src/decide/distribution.cpp
+++ b/src/decide/configuration/distribution.cpp
@@ -1,4 +1,4 @@
-#include "decide/distribution.hpp"
+#include "decide/configuration/distribution.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/decide/hedged_read.cpp
+++ b/src/decide/configuration/hedged_read.cpp
@@ -1,4 +1,4 @@
-#include "decide/hedged_read.hpp"
+#include "decide/configuration/hedged_read.hpp"
 
 #include <algorithm>
 
--- a/src/decide/claim.cpp
+++ b/src/decide/leases/claim.cpp
@@ -1,4 +1,4 @@
-#include "decide/claim.hpp"
+#include "decide/leases/claim.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/decide/lease.cpp
+++ b/src/decide/leases/lease.cpp
@@ -1,4 +1,4 @@
-#include "decide/lease.hpp"
+#include "decide/leases/lease.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/decide/entry_points.cpp
+++ b/src/decide/membership/entry_points.cpp
@@ -1,10 +1,10 @@
-#include "decide/entry_points.hpp"
+#include "decide/membership/entry_points.hpp"
 
 #include <algorithm>
 #include <set>
 
 #include "base/hash.hpp"
-#include "decide/membership_groups.hpp"
+#include "decide/membership/membership_groups.hpp"
 
 namespace caraway {
 namespace {
--- a/src/decide/entry_points.hpp
+++ b/src/decide/membership/entry_points.hpp
@@ -9,8 +9,8 @@
 #include <string_view>
 #include <vector>
 
-#include "config/settings.hpp"
-#include "decide/membership.hpp"
+#include "base/endpoint.hpp"
+#include "decide/membership/membership.hpp"
 
 namespace caraway {
 
--- a/src/decide/membership.cpp
+++ b/src/decide/membership/membership.cpp
@@ -1,14 +1,14 @@
-#include "decide/membership.hpp"
+#include "decide/membership/membership.hpp"
 
 #include <array>
 #include <utility>
 
-#include "decide/membership_groups.hpp"
-#include "decide/membership_merge.hpp"
-#include "decide/membership_packets.hpp"
-#include "decide/membership_probes.hpp"
-#include "decide/membership_rumours.hpp"
-#include "decide/membership_table.hpp"
+#include "decide/membership/membership_groups.hpp"
+#include "decide/membership/membership_merge.hpp"
+#include "decide/membership/membership_packets.hpp"
+#include "decide/membership/membership_probes.hpp"
+#include "decide/membership/membership_rumours.hpp"
+#include "decide/membership/membership_table.hpp"
 
 namespace caraway {
 namespace {
--- a/src/decide/membership.hpp
+++ b/src/decide/membership/membership.hpp
@@ -17,10 +17,10 @@
 #include <vector>
 
 #include "base/clock.hpp"
+#include "base/endpoint.hpp"
 #include "base/random.hpp"
-#include "config/settings.hpp"
-#include "decide/facts.hpp"
-#include "decide/server_departure.hpp"
+#include "decide/membership/server_departure.hpp"
+#include "decide/versions/facts.hpp"
 
 namespace caraway {
 
--- a/src/decide/membership_groups.cpp
+++ b/src/decide/membership/membership_groups.cpp
@@ -1,4 +1,4 @@
-#include "decide/membership_groups.hpp"
+#include "decide/membership/membership_groups.hpp"
 
 #include <algorithm>
 #include <string>
--- a/src/decide/membership_groups.hpp
+++ b/src/decide/membership/membership_groups.hpp
@@ -8,8 +8,8 @@
 #include <string_view>
 #include <vector>
 
-#include "decide/membership.hpp"
-#include "decide/membership_table.hpp"
+#include "decide/membership/membership.hpp"
+#include "decide/membership/membership_table.hpp"
 
 namespace caraway::swim {
 
--- a/src/decide/membership_merge.cpp
+++ b/src/decide/membership/membership_merge.cpp
@@ -1,11 +1,11 @@
-#include "decide/membership_merge.hpp"
+#include "decide/membership/membership_merge.hpp"
 
 #include <algorithm>
 #include <string>
 #include <vector>
 
-#include "decide/membership_packets.hpp"
-#include "decide/membership_rumours.hpp"
+#include "decide/membership/membership_packets.hpp"
+#include "decide/membership/membership_rumours.hpp"
 
 namespace caraway {
 namespace swim {
--- a/src/decide/membership_merge.hpp
+++ b/src/decide/membership/membership_merge.hpp
@@ -3,8 +3,8 @@
 
 #include <cstdint>
 
-#include "decide/membership.hpp"
-#include "decide/membership_table.hpp"
+#include "decide/membership/membership.hpp"
+#include "decide/membership/membership_table.hpp"
 
 namespace caraway::swim {
 
--- a/src/decide/membership_packet_size.cpp
+++ b/src/decide/membership/membership_packet_size.cpp
@@ -1,4 +1,4 @@
-#include "decide/membership_packet_size.hpp"
+#include "decide/membership/membership_packet_size.hpp"
 
 namespace caraway {
 namespace {
--- a/src/decide/membership_packet_size.hpp
+++ b/src/decide/membership/membership_packet_size.hpp
@@ -4,8 +4,8 @@
 
 #include <cstddef>
 
-#include "decide/facts.hpp"
-#include "decide/membership.hpp"
+#include "decide/membership/membership.hpp"
+#include "decide/versions/facts.hpp"
 
 namespace caraway::swim {
 
--- a/src/decide/membership_packets.cpp
+++ b/src/decide/membership/membership_packets.cpp
@@ -1,12 +1,12 @@
-#include "decide/membership_packets.hpp"
+#include "decide/membership/membership_packets.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <string>
 #include <utility>
 
-#include "decide/membership_groups.hpp"
-#include "decide/membership_packet_size.hpp"
+#include "decide/membership/membership_groups.hpp"
+#include "decide/membership/membership_packet_size.hpp"
 
 namespace caraway::swim {
 namespace {
--- a/src/decide/membership_packets.hpp
+++ b/src/decide/membership/membership_packets.hpp
@@ -6,8 +6,8 @@
 #include <optional>
 #include <string_view>
 
-#include "decide/membership.hpp"
-#include "decide/membership_table.hpp"
+#include "decide/membership/membership.hpp"
+#include "decide/membership/membership_table.hpp"
 
 namespace caraway::swim {
 
--- a/src/decide/membership_probes.cpp
+++ b/src/decide/membership/membership_probes.cpp
@@ -1,4 +1,4 @@
-#include "decide/membership_probes.hpp"
+#include "decide/membership/membership_probes.hpp"
 
 #include <algorithm>
 #include <optional>
@@ -6,8 +6,8 @@
 #include <utility>
 #include <vector>
 
-#include "decide/membership_groups.hpp"
-#include "decide/membership_packets.hpp"
+#include "decide/membership/membership_groups.hpp"
+#include "decide/membership/membership_packets.hpp"
 
 namespace caraway::swim {
 namespace {
--- a/src/decide/membership_probes.hpp
+++ b/src/decide/membership/membership_probes.hpp
@@ -2,8 +2,8 @@
 // other tables.
 #pragma once
 
-#include "decide/membership.hpp"
-#include "decide/membership_table.hpp"
+#include "decide/membership/membership.hpp"
+#include "decide/membership/membership_table.hpp"
 
 namespace caraway::swim {
 
--- a/src/decide/membership_rumours.cpp
+++ b/src/decide/membership/membership_rumours.cpp
@@ -1,11 +1,11 @@
-#include "decide/membership_rumours.hpp"
+#include "decide/membership/membership_rumours.hpp"
 
 #include <algorithm>
 #include <utility>
 
 #include "base/hash.hpp"
-#include "decide/membership_packet_size.hpp"
-#include "decide/membership_packets.hpp"
+#include "decide/membership/membership_packet_size.hpp"
+#include "decide/membership/membership_packets.hpp"
 
 namespace caraway {
 namespace swim {
--- a/src/decide/membership_table.cpp
+++ b/src/decide/membership/membership_table.cpp
@@ -1,4 +1,4 @@
-#include "decide/membership_table.hpp"
+#include "decide/membership/membership_table.hpp"
 
 #include <algorithm>
 #include <array>
@@ -7,7 +7,7 @@
 #include <utility>
 
 #include "base/hash.hpp"
-#include "decide/membership_groups.hpp"
+#include "decide/membership/membership_groups.hpp"
 
 namespace caraway::swim {
 namespace {
--- a/src/decide/membership_table.hpp
+++ b/src/decide/membership/membership_table.hpp
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-#include "decide/membership.hpp"
+#include "decide/membership/membership.hpp"
 
 namespace caraway::swim {
 
--- a/src/decide/replication.cpp
+++ b/src/decide/membership/replication.cpp
@@ -1,4 +1,4 @@
-#include "decide/replication.hpp"
+#include "decide/membership/replication.hpp"
 
 #include <algorithm>
 
--- a/src/decide/replication.hpp
+++ b/src/decide/membership/replication.hpp
@@ -6,9 +6,9 @@
 #include <cstdint>
 #include <vector>
 
+#include "base/endpoint.hpp"
 #include "base/random.hpp"
-#include "config/settings.hpp"
-#include "decide/membership.hpp"
+#include "decide/membership/membership.hpp"
 
 namespace caraway {
 
--- a/src/decide/server_departure.cpp
+++ b/src/decide/membership/server_departure.cpp
@@ -1,4 +1,4 @@
-#include "decide/server_departure.hpp"
+#include "decide/membership/server_departure.hpp"
 
 #include <tuple>
 
--- a/src/decide/admission.cpp
+++ b/src/decide/traffic/admission.cpp
@@ -1,4 +1,4 @@
-#include "decide/admission.hpp"
+#include "decide/traffic/admission.hpp"
 
 #include <algorithm>
 #include <bit>
--- a/src/decide/admission.hpp
+++ b/src/decide/traffic/admission.hpp
@@ -12,7 +12,7 @@
 #include "base/clock.hpp"
 #include "base/error.hpp"
 #include "config/mesh.hpp"
-#include "decide/route_latency.hpp"
+#include "decide/traffic/route_latency.hpp"
 
 namespace caraway {
 
--- a/src/decide/balance.cpp
+++ b/src/decide/traffic/balance.cpp
@@ -1,4 +1,4 @@
-#include "decide/balance.hpp"
+#include "decide/traffic/balance.hpp"
 
 #include <algorithm>
 
--- a/src/decide/own_server.cpp
+++ b/src/decide/traffic/own_server.cpp
@@ -1,4 +1,4 @@
-#include "decide/own_server.hpp"
+#include "decide/traffic/own_server.hpp"
 
 namespace caraway {
 namespace {
--- a/src/decide/own_server.hpp
+++ b/src/decide/traffic/own_server.hpp
@@ -9,9 +9,9 @@
 #include <string_view>
 
 #include "base/clock.hpp"
+#include "base/endpoint.hpp"
 #include "base/error.hpp"
-#include "config/settings.hpp"
-#include "decide/server_departure.hpp"
+#include "decide/membership/server_departure.hpp"
 
 namespace caraway {
 
--- a/src/decide/pushback.cpp
+++ b/src/decide/traffic/pushback.cpp
@@ -1,4 +1,4 @@
-#include "decide/pushback.hpp"
+#include "decide/traffic/pushback.hpp"
 
 #include <algorithm>
 
--- a/src/decide/retry.cpp
+++ b/src/decide/traffic/retry.cpp
@@ -1,4 +1,4 @@
-#include "decide/retry.hpp"
+#include "decide/traffic/retry.hpp"
 
 #include <algorithm>
 
--- a/src/decide/route_latency.cpp
+++ b/src/decide/traffic/route_latency.cpp
@@ -1,4 +1,4 @@
-#include "decide/route_latency.hpp"
+#include "decide/traffic/route_latency.hpp"
 
 #include <algorithm>
 
--- a/src/decide/facts.cpp
+++ b/src/decide/versions/facts.cpp
@@ -1,4 +1,4 @@
-#include "decide/facts.hpp"
+#include "decide/versions/facts.hpp"
 
 #include <array>
 #include <set>
--- a/src/decide/move_evidence.cpp
+++ b/src/decide/versions/move_evidence.cpp
@@ -1,4 +1,4 @@
-#include "decide/move_evidence.hpp"
+#include "decide/versions/move_evidence.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/decide/version_move.cpp
+++ b/src/decide/versions/version_move.cpp
@@ -1,4 +1,4 @@
-#include "decide/version_move.hpp"
+#include "decide/versions/version_move.hpp"
 
 #include <algorithm>
 #include <limits>
--- a/src/decide/version_move.hpp
+++ b/src/decide/versions/version_move.hpp
@@ -9,8 +9,8 @@
 #include <string_view>
 
 #include "base/clock.hpp"
-#include "decide/facts.hpp"
-#include "decide/move_evidence.hpp"
+#include "decide/versions/facts.hpp"
+#include "decide/versions/move_evidence.hpp"
 
 namespace caraway {
 
--- a/src/config/adapter.cpp
+++ b/src/node/adapter.cpp
@@ -1,6 +1,6 @@
-#include "config/adapter.hpp"
+#include "node/adapter.hpp"
 
-#include "decide/version_move.hpp"
+#include "decide/versions/version_move.hpp"
 
 namespace caraway {
 
--- a/src/config/adapter.hpp
+++ b/src/node/adapter.hpp
@@ -11,8 +11,8 @@
 #include <vector>
 
 #include "config/mesh.hpp"
-#include "decide/facts.hpp"
-#include "decide/own_server.hpp"
+#include "decide/traffic/own_server.hpp"
+#include "decide/versions/facts.hpp"
 #include "store/store_codec.hpp"
 
 namespace caraway {
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -5,8 +5,8 @@
 
 #include "base/clock.hpp"
 #include "base/error.hpp"
-#include "config/adapter.hpp"
 #include "config/settings.hpp"
+#include "node/adapter.hpp"
 
 namespace boost::asio {
 class io_context;
--- a/src/node/operator_watch.cpp
+++ b/src/node/operator_watch.cpp
@@ -8,7 +8,7 @@
 
 #include "base/hash.hpp"
 #include "config/item_text.hpp"
-#include "decide/hedged_read.hpp"
+#include "decide/configuration/hedged_read.hpp"
 #include "node/control.hpp"
 #include "node/recorded.hpp"
 #include "observe/log.hpp"
--- a/src/node/server_reports.cpp
+++ b/src/node/server_reports.cpp
@@ -3,7 +3,7 @@
 // departure only after other members have confirmed a copy of it, so that a successor of this
 // process respects it too.
 
-#include "decide/replication.hpp"
+#include "decide/membership/replication.hpp"
 #include "node/control.hpp"
 #include "observe/log.hpp"
 #include "traffic/admin.hpp"
--- a/src/node/snapshot_builder.hpp
+++ b/src/node/snapshot_builder.hpp
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "decide/facts.hpp"
-#include "decide/membership.hpp"
+#include "decide/membership/membership.hpp"
+#include "decide/versions/facts.hpp"
 #include "traffic/snapshot.hpp"
 
 namespace caraway {
--- a/src/observe/action_text.hpp
+++ b/src/observe/action_text.hpp
@@ -7,10 +7,10 @@
 #include <string>
 #include <string_view>
 
-#include "decide/admission.hpp"
-#include "decide/distribution.hpp"
-#include "decide/lease.hpp"
-#include "decide/version_move.hpp"
+#include "decide/configuration/distribution.hpp"
+#include "decide/leases/lease.hpp"
+#include "decide/traffic/admission.hpp"
+#include "decide/versions/version_move.hpp"
 
 namespace caraway {
 
--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -12,7 +12,7 @@
 
 #include "base/hash.hpp"
 #include "config/mesh.hpp"
-#include "decide/distribution.hpp"
+#include "decide/configuration/distribution.hpp"
 #include "peer/gen/peer.pb.h"
 
 namespace caraway {
--- a/src/peer/wire.hpp
+++ b/src/peer/wire.hpp
@@ -10,9 +10,9 @@
 #include <vector>
 
 #include "base/error.hpp"
-#include "decide/facts.hpp"
-#include "decide/membership.hpp"
-#include "decide/version_move.hpp"
+#include "decide/membership/membership.hpp"
+#include "decide/versions/facts.hpp"
+#include "decide/versions/version_move.hpp"
 
 namespace caraway {
 
--- a/src/store/store_client.hpp
+++ b/src/store/store_client.hpp
@@ -12,8 +12,8 @@
 #include <vector>
 
 #include "base/clock.hpp"
+#include "base/endpoint.hpp"
 #include "base/error.hpp"
-#include "config/settings.hpp"
 #include "store/store_codec.hpp"
 
 namespace boost::asio {
--- a/src/traffic/admission_gate.hpp
+++ b/src/traffic/admission_gate.hpp
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <unordered_map>
 
-#include "decide/admission.hpp"
+#include "decide/traffic/admission.hpp"
 #include "traffic/call_control.hpp"
 #include "traffic/snapshot.hpp"
 
--- a/src/traffic/backend_side.cpp
+++ b/src/traffic/backend_side.cpp
@@ -4,7 +4,7 @@
 #include <array>
 
 #include "config/mesh.hpp"
-#include "decide/pushback.hpp"
+#include "decide/traffic/pushback.hpp"
 #include "observe/log.hpp"
 #include "traffic/server_answer.hpp"
 
--- a/src/traffic/claims_over_http.hpp
+++ b/src/traffic/claims_over_http.hpp
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "decide/claim.hpp"
+#include "decide/leases/claim.hpp"
 #include "traffic/call_control.hpp"
 #include "traffic/http_message.hpp"
 
--- a/src/traffic/entry_side.cpp
+++ b/src/traffic/entry_side.cpp
@@ -4,8 +4,8 @@
 #include <array>
 
 #include "config/mesh.hpp"
-#include "decide/balance.hpp"
-#include "decide/pushback.hpp"
+#include "decide/traffic/balance.hpp"
+#include "decide/traffic/pushback.hpp"
 #include "traffic/backend_side.hpp"
 
 namespace caraway {
--- a/src/traffic/snapshot.hpp
+++ b/src/traffic/snapshot.hpp
@@ -13,8 +13,8 @@
 
 #include "config/mesh.hpp"
 #include "config/settings.hpp"
-#include "decide/claim.hpp"
-#include "decide/pushback.hpp"
+#include "decide/leases/claim.hpp"
+#include "decide/traffic/pushback.hpp"
 
 namespace caraway {
 
--- a/src/traffic/traffic.hpp
+++ b/src/traffic/traffic.hpp
@@ -10,7 +10,7 @@
 #include "base/clock.hpp"
 #include "base/error.hpp"
 #include "config/settings.hpp"
-#include "decide/move_evidence.hpp"
+#include "decide/versions/move_evidence.hpp"
 #include "observe/metrics.hpp"
 #include "traffic/snapshot.hpp"
 
--- a/src/traffic/traffic_context.hpp
+++ b/src/traffic/traffic_context.hpp
@@ -8,10 +8,10 @@
 #include <string>
 #include <unordered_map>
 
-#include "decide/balance.hpp"
-#include "decide/move_evidence.hpp"
-#include "decide/pushback.hpp"
-#include "decide/retry.hpp"
+#include "decide/traffic/balance.hpp"
+#include "decide/traffic/pushback.hpp"
+#include "decide/traffic/retry.hpp"
+#include "decide/versions/move_evidence.hpp"
 #include "observe/metrics.hpp"
 #include "observe/span.hpp"
 #include "traffic/admission_gate.hpp"
--- a/tests/acceptance_test.cpp
+++ b/tests/acceptance_test.cpp
@@ -2,7 +2,7 @@
 #include <string>
 
 #include "base/hash.hpp"
-#include "decide/acceptance.hpp"
+#include "decide/configuration/acceptance.hpp"
 #include "tests/node_schedule.hpp"
 #include "tests/support.hpp"
 
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -4,7 +4,7 @@
 #include <set>
 
 #include "base/random.hpp"
-#include "decide/admission.hpp"
+#include "decide/traffic/admission.hpp"
 #include "tests/support.hpp"
 #include <vector>
 
--- a/tests/claim_test.cpp
+++ b/tests/claim_test.cpp
@@ -7,7 +7,7 @@
 
 #include "base/hash.hpp"
 #include "base/random.hpp"
-#include "decide/claim.hpp"
+#include "decide/leases/claim.hpp"
 #include "tests/support.hpp"
 
 using namespace caraway;
--- a/tests/distribution_test.cpp
+++ b/tests/distribution_test.cpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "decide/distribution.hpp"
+#include "decide/configuration/distribution.hpp"
 #include "tests/node_schedule.hpp"
 #include "tests/support.hpp"
 
--- a/tests/entry_points_test.cpp
+++ b/tests/entry_points_test.cpp
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "decide/entry_points.hpp"
+#include "decide/membership/entry_points.hpp"
 #include "tests/node_schedule.hpp"
 #include "tests/support.hpp"
 
--- a/tests/facts_test.cpp
+++ b/tests/facts_test.cpp
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "decide/facts.hpp"
+#include "decide/versions/facts.hpp"
 #include "tests/node_schedule.hpp"
 #include "tests/support.hpp"
 
--- a/tests/hedged_read_test.cpp
+++ b/tests/hedged_read_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the order of repeated reads.
-#include "decide/hedged_read.hpp"
+#include "decide/configuration/hedged_read.hpp"
 #include "tests/support.hpp"
 
 using namespace caraway;
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "decide/lease.hpp"
+#include "decide/leases/lease.hpp"
 #include "tests/node_schedule.hpp"
 #include "tests/support.hpp"
 
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "decide/membership.hpp"
-#include "decide/membership_groups.hpp"
+#include "decide/membership/membership.hpp"
+#include "decide/membership/membership_groups.hpp"
 #include "peer/wire.hpp"
 #include "tests/node_schedule.hpp"
 #include "tests/support.hpp"
--- a/tests/node_schedule.hpp
+++ b/tests/node_schedule.hpp
@@ -14,9 +14,9 @@
 #include <vector>
 
 #include "base/hash.hpp"
-#include "decide/distribution.hpp"
-#include "decide/facts.hpp"
-#include "decide/membership.hpp"
+#include "decide/configuration/distribution.hpp"
+#include "decide/membership/membership.hpp"
+#include "decide/versions/facts.hpp"
 
 namespace caraway {
 
--- a/tests/own_server_test.cpp
+++ b/tests/own_server_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the state that a node keeps of the backend server beside it.
-#include "decide/own_server.hpp"
+#include "decide/traffic/own_server.hpp"
 #include "tests/support.hpp"
 
 using namespace caraway;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the adapter to the platform: every translation, with valid and malformed input.
-#include "config/adapter.hpp"
+#include "node/adapter.hpp"
 #include "platform/operator_items.hpp"
 #include "platform/platform_adapter.hpp"
 #include "platform/reports.hpp"
--- a/tests/pushback_test.cpp
+++ b/tests/pushback_test.cpp
@@ -1,8 +1,8 @@
 // Tests of the handling of overload refusals at the callers' nodes.
 #include <array>
 
-#include "decide/balance.hpp"
-#include "decide/pushback.hpp"
+#include "decide/traffic/balance.hpp"
+#include "decide/traffic/pushback.hpp"
 #include "tests/support.hpp"
 
 using namespace caraway;
--- a/tests/replication_test.cpp
+++ b/tests/replication_test.cpp
@@ -1,6 +1,6 @@
 // Tests of the copies on which a node's promises rest.
-#include "decide/replication.hpp"
-#include "decide/server_departure.hpp"
+#include "decide/membership/replication.hpp"
+#include "decide/membership/server_departure.hpp"
 #include "tests/node_schedule.hpp"
 #include "tests/support.hpp"
 
--- a/tests/retry_balance_test.cpp
+++ b/tests/retry_balance_test.cpp
@@ -5,8 +5,8 @@
 #include <vector>
 
 #include "base/random.hpp"
-#include "decide/balance.hpp"
-#include "decide/retry.hpp"
+#include "decide/traffic/balance.hpp"
+#include "decide/traffic/retry.hpp"
 #include "tests/support.hpp"
 
 using namespace caraway;
