--- a/src/config/mesh.cpp
+++ b/src/config/mesh.cpp
@@ -45,8 +45,8 @@
 constexpr std::array<std::string_view, 7> service_keys{
     "version", "depends_on", "slots", "connections", "queue", "latency_limit", "move"};
 constexpr std::array<std::string_view, 2> move_keys{"to", "deadline"};
-constexpr std::array<std::string_view, 5> route_keys{"path", "service", "timeout", "idempotent",
-                                                     "urgency"};
+constexpr std::array<std::string_view, 6> route_keys{"path",       "service", "timeout",
+                                                     "idempotent", "urgency", "large_answers"};
 constexpr std::array<std::string_view, 3> urgency_names{"urgent", "normal", "background"};
 
 constexpr std::string_view expected_path =
@@ -247,6 +247,7 @@
         reader.read_duration("timeout", presence::optional, milliseconds(1), max_timeout,
                              route.m_timeout);
         reader.read_bool("idempotent", presence::optional, route.m_idempotent);
+        reader.read_bool("large_answers", presence::optional, route.m_large_answers);
         std::string urgency_word;
         constexpr std::string_view expected_urgency = "\"urgent\", \"normal\" or \"background\"";
         if (reader.read_text("urgency", presence::optional, expected_urgency, urgency_word)) {
@@ -404,6 +405,7 @@
     diff_value(label, "timeout", format_duration(before->m_timeout),
                format_duration(after->m_timeout), lines);
     diff_value(label, "idempotent", before->m_idempotent, after->m_idempotent, lines);
+    diff_value(label, "large_answers", before->m_large_answers, after->m_large_answers, lines);
     diff_value(label, "urgency", urgency_name(before->m_urgency), urgency_name(after->m_urgency),
                lines);
 }
--- a/src/config/mesh.hpp
+++ b/src/config/mesh.hpp
@@ -79,6 +79,8 @@
     std::uint32_t m_attempts = 2;            // maximum number of backend servers tried
     // Latency up to which an answer has its full value for the caller; 0 = not set.
     milliseconds m_target_latency{0};
+    // Answers are much larger than those of other routes, such as downloads.
+    bool m_large_answers = false;
     friend bool operator==(const route_spec&, const route_spec&) = default;
 };
 
@@ -98,6 +100,8 @@
     std::vector<route_spec> m_routes;
     // If false, data centres that are not listed receive calls, too.
     bool m_lists_data_centres = true;
+    // Descriptions of values that this program doesn't know, each with what applies instead.
+    std::vector<std::string> m_unknown_values{};
     friend bool operator==(const mesh&, const mesh&) = default;
 };
 
--- a/src/node/config_sync.cpp
+++ b/src/node/config_sync.cpp
@@ -78,6 +78,19 @@
     }
 }
 
+// Number of unknown values of a configuration that are logged one by one.
+constexpr std::size_t max_logged_unknown_values = 10;
+
+// Logs the values of a configuration that this program doesn't know and serves with restrictions.
+void report_unknown_values(control& state, const mesh& config, std::uint64_t version) {
+    const std::vector<std::string>& values = config.m_unknown_values;
+    state.m_metrics->set_unknown_config_values(values.size());
+    for (std::size_t i = 0; i < std::min(values.size(), max_logged_unknown_values); ++i) {
+        log_event(log_level::error, "config_value_unknown",
+                  {{"version", version}, {"value", values[i]}, {"of", values.size()}});
+    }
+}
+
 // Returns the ids of all moves in a configuration.
 std::vector<std::string> move_ids(const mesh& config) {
     std::vector<std::string> ids;
@@ -106,6 +119,7 @@
               {{"version", version}, {"previous", previous_version}});
     log_data_centre_changes(before.get(), *state.m_mesh, version);
     state.m_metrics->set_config_version(version);
+    report_unknown_values(state, *state.m_mesh, version);
     prune_and_record_facts(state, move_ids(*state.m_mesh));
     state.m_members.m_facts_digest = facts_digest(state.m_facts);
     state.m_snapshot_dirty = true;
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -47,6 +47,9 @@
           m_backend_latency(m_latency.Add({{"side", "backend"}}, latency_bucket_bounds_s)),
           m_config_version(
               add_gauge_family("caraway_config_version", "Configuration version in force")),
+          m_unknown_config_values(
+              add_gauge_family("caraway_config_unknown_values",
+                               "Values of the configuration in force that are not known here")),
           m_members(add_gauge_family("caraway_members", "Members known, by state")),
           m_load(add_gauge_family("caraway_admission_calls",
                                   "Calls at the own backend server, by state")) {}
@@ -110,6 +113,7 @@
     prometheus::Histogram& m_entry_latency;
     prometheus::Histogram& m_backend_latency;
     prometheus::Family<prometheus::Gauge>& m_config_version;
+    prometheus::Family<prometheus::Gauge>& m_unknown_config_values;
     prometheus::Family<prometheus::Gauge>& m_members;
     prometheus::Family<prometheus::Gauge>& m_load;
 
@@ -160,6 +164,10 @@
     m_impl->m_config_version.Add({}).Set(static_cast<double>(version));
 }
 
+void node_metrics::set_unknown_config_values(std::uint64_t count) {
+    m_impl->m_unknown_config_values.Add({}).Set(static_cast<double>(count));
+}
+
 void node_metrics::set_members(std::string_view state, std::uint64_t count) {
     m_impl->m_members.Add({{"state", std::string(state)}}).Set(static_cast<double>(count));
 }
--- a/src/observe/metrics.hpp
+++ b/src/observe/metrics.hpp
@@ -33,6 +33,8 @@
     // Counts a call to the key-value store by its result.
     void count_store_call(std::string_view operation, error_kind result);
     void set_config_version(std::uint64_t version);
+    // Sets the number of values in the configuration in force that this program doesn't know.
+    void set_unknown_config_values(std::uint64_t count);
     // Sets the number of known members in a state, which is a name that member_state_name returns.
     void set_members(std::string_view state, std::uint64_t count);
     // Sets the running and waiting calls of the own backend server and its concurrency limit.
