--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -19,6 +19,9 @@
     // Whether every answer of a backend server repeats the number of its request. If so, an answer
     // without it can't be told from a late one to an earlier request on the connection.
     bool m_servers_echo_number = false;
+    // Character before which the number of an onward call repeats that of the call that it serves;
+    // 0 if onward calls can't be recognised by their numbers.
+    char m_onward_separator = '.';
     std::string m_deadline_ms = "x-caraway-deadline-ms";
     std::string m_not_run = "x-caraway-backend-shed"; // set by a server that did not run the call
     std::string m_expected_server; // identity of the only server that may run the call
@@ -82,6 +85,7 @@
     milliseconds m_behind_wait{250};
     std::uint32_t m_retry_budget_percent = 10; // retries in percent of a service's calls
     std::uint32_t m_retry_burst = 10;          // retries in the budget at the start
+    double m_link_mbps = 0;                    // rate of the instance's link in Mbit/s; 0 = unknown
     // [results]
     milliseconds m_result_retention{600'000};
     std::uint32_t m_result_entries = 10'000;
--- a/src/config/text_check.cpp
+++ b/src/config/text_check.cpp
@@ -412,6 +412,22 @@
     return true;
 }
 
+bool table_reader::read_number(std::string_view key, presence need, double min_value,
+                               double max_value, double& result) const {
+    const std::string expected = fmt::format("a number from {} to {}", min_value, max_value);
+    const toml::node* node = find(key, need, expected);
+    if (node == nullptr) {
+        return false;
+    }
+    const auto number = node->value<double>();
+    if (!number || !(*number >= min_value && *number <= max_value)) {
+        add_type_fault(*node, key, expected);
+        return false;
+    }
+    result = *number;
+    return true;
+}
+
 bool table_reader::read_integer(std::string_view key, presence need, std::uint64_t min_value,
                                 std::uint64_t max_value, std::uint64_t& result) const {
     const std::string expected = fmt::format("an integer from {} to {}", min_value, max_value);
--- a/src/config/text_check.hpp
+++ b/src/config/text_check.hpp
@@ -106,6 +106,8 @@
                       std::uint64_t max_value, std::uint64_t& result) const;
     bool read_integer(std::string_view key, presence need, std::uint32_t min_value,
                       std::uint32_t max_value, std::uint32_t& result) const;
+    bool read_number(std::string_view key, presence need, double min_value, double max_value,
+                     double& result) const;
     bool read_duration(std::string_view key, presence need, milliseconds min_value,
                        milliseconds max_value, milliseconds& result) const;
     // Reads a date-time with an offset and truncates it to milliseconds.
--- a/src/ctl/replay_player.cpp
+++ b/src/ctl/replay_player.cpp
@@ -107,9 +107,9 @@
     admission_state& state = process.m_admission;
     const std::string& name = input.m_input_name;
     if (name == "offer") {
-        const admission_result result = admission_offer(
-            state, input.count("call"), static_cast<urgency>(input.count("urgency")),
-            time_point_from_ns(input.number("deadline_ns")), input.m_now);
+        const call_offer offer{input.count("call"), static_cast<urgency>(input.count("urgency")),
+                               time_point_from_ns(input.number("deadline_ns"))};
+        const admission_result result = admission_offer(state, offer, input.m_now);
         process.m_started_calls = result.m_verdict == admission_verdict::run ? 1 : 0;
         return action_text(state, result);
     }
--- a/src/decide/traffic/admission.cpp
+++ b/src/decide/traffic/admission.cpp
@@ -56,6 +56,10 @@
 constexpr double min_wait_correction = 0.25;
 constexpr double max_wait_correction = 4;
 constexpr milliseconds min_compared_wait{5};
+// Factor by which the slots for background calls fall with each more urgent call that had to wait,
+// and step by which they rise with each one that didn't. Balanced, some 7% of these calls wait.
+constexpr double background_fall = 0.9;
+constexpr double background_rise = 0.03;
 // Upper bound of the reported load; beyond it, more queued calls make no difference to the callers'
 // choice.
 constexpr std::uint64_t max_load_permille = 10'000;
@@ -76,12 +80,30 @@
     return now < state.m_limits.m_cold_until && state.m_limits.m_cold_calls_per_second > 0;
 }
 
+// Adjusts the slots for background calls when a more urgent call starts. A background call holds
+// its slot until it ends, so precedence in the queue alone doesn't keep more urgent calls from
+// waiting for it.
+void update_background_limit(admission_state& state, urgency level, bool waited) {
+    if (level == urgency::background) {
+        return;
+    }
+    if (!waited) {
+        state.m_background_limit += background_rise;
+        return;
+    }
+    const double limit = std::min<double>(state.m_background_limit, concurrency_limit(state));
+    state.m_background_limit = std::max(1.0, limit * background_fall);
+}
+
 // Returns true if one more call may start now. During a reported warm-up, the calls started in any
 // one second stay within the reported rate.
-bool can_start_call(admission_state& state, time_point now) {
+bool can_start_call(admission_state& state, urgency level, time_point now) {
     if (state.m_running >= concurrency_limit(state)) {
         return false;
     }
+    if (level == urgency::background && state.m_background_running + 1 > state.m_background_limit) {
+        return false;
+    }
     if (!reports_cold(state, now)) {
         return true;
     }
@@ -94,8 +116,10 @@
 }
 
 // Counts a call as started.
-void start_call(admission_state& state, time_point now) {
+void start_call(admission_state& state, urgency level, bool waited, time_point now) {
     ++state.m_running;
+    state.m_background_running += level == urgency::background ? 1 : 0;
+    update_background_limit(state, level, waited);
     if (reports_cold(state, now)) {
         state.m_cold_call_starts.push_back(now);
     }
@@ -154,10 +178,12 @@
     return concurrency_limit(state) >= state.m_limits.m_slots;
 }
 
-// Queue order: urgency, then calls whose answer is still useful, then deadline, then arrival.
+// Queue order: urgency, then calls whose answer is still useful, then onward calls, then deadline,
+// then arrival.
 bool has_precedence(const queued_call& left, const queued_call& right) {
-    return std::tie(left.m_urgency, left.m_late, left.m_deadline, left.m_arrival_order) <
-           std::tie(right.m_urgency, right.m_late, right.m_deadline, right.m_arrival_order);
+    return std::tie(left.m_urgency, left.m_late, right.m_onward, left.m_deadline,
+                    left.m_arrival_order) < std::tie(right.m_urgency, right.m_late, left.m_onward,
+                                                     right.m_deadline, right.m_arrival_order);
 }
 
 // Drops the limit to one call. The smoothed latency restarts, so that earlier answers of the warm
@@ -285,10 +311,12 @@
     }
     std::erase_if(state.m_queue, too_late);
     demote_late_calls(state, now);
-    while (released_count < state.m_queue.size() && can_start_call(state, now)) {
-        update_wait_correction(state, state.m_queue[released_count], now);
-        release.m_run.push_back(state.m_queue[released_count].m_id);
-        start_call(state, now);
+    while (released_count < state.m_queue.size() &&
+           can_start_call(state, state.m_queue[released_count].m_urgency, now)) {
+        const queued_call& call = state.m_queue[released_count];
+        update_wait_correction(state, call, now);
+        release.m_run.push_back(call.m_id);
+        start_call(state, call.m_urgency, true, now);
         ++released_count;
     }
     state.m_queue.erase(state.m_queue.begin(),
@@ -315,10 +343,9 @@
 
 // The queue is sorted by has_precedence. The wait estimate refuses a call only if everything in the
 // queue is at least as urgent, so that no urgent call is refused while less urgent ones wait.
-admission_result admission_offer(admission_state& state, std::uint64_t call, urgency level,
-                                 time_point deadline, time_point now, time_point useful_until,
-                                 std::string_view route) {
+admission_result admission_offer(admission_state& state, const call_offer& call, time_point now) {
     admission_result result;
+    const auto& [id, level, deadline, useful_until, route, onward] = call;
     if (state.m_draining) {
         result.m_reason = error_kind::draining;
         return result;
@@ -327,8 +354,12 @@
         result.m_reason = error_kind::deadline_before_send;
         return result;
     }
-    if (state.m_queue.empty() && can_start_call(state, now)) {
-        start_call(state, now);
+    // Background calls for which no slot is reserved may wait while slots are free.
+    const bool queue_allows =
+        state.m_queue.empty() ||
+        (level != urgency::background && state.m_queue.front().m_urgency == urgency::background);
+    if (queue_allows && can_start_call(state, level, now)) {
+        start_call(state, level, false, now);
         result.m_verdict = admission_verdict::run;
         return result;
     }
@@ -336,7 +367,8 @@
     const error_kind refusal_reason = cold ? error_kind::cold_start_limit : error_kind::queue_full;
     const bool late = useful_until != time_point{} && useful_until <= now;
     queued_call waiting{
-        call, level, late, deadline, state.m_next_order++, std::string(route), useful_until, now};
+        id,           level, late, onward, deadline, state.m_next_order++, std::string(route),
+        useful_until, now};
     const auto insert_at =
         std::upper_bound(state.m_queue.begin(), state.m_queue.end(), waiting, has_precedence);
     const auto ahead = static_cast<std::size_t>(insert_at - state.m_queue.begin());
@@ -344,7 +376,8 @@
     const bool less_urgent_queued =
         !state.m_queue.empty() && state.m_queue.back().m_urgency > waiting.m_urgency;
     if (!less_urgent_queued) {
-        const time_point latest = useful_until > now ? std::min(useful_until, deadline) : deadline;
+        const bool bound_by_use = useful_until > now && !onward;
+        const time_point latest = bound_by_use ? std::min(useful_until, deadline) : deadline;
         const time_point answered = now + waiting.m_expected_wait + expected_latency(state, route) +
                                     latency_reserve(state, route);
         if (answered > latest) {
@@ -377,6 +410,8 @@
 released_calls admission_finish(admission_state& state, const call_sample& sample, time_point now) {
     const bool in_use = state.m_running >= concurrency_limit(state);
     state.m_running -= state.m_running > 0 ? 1 : 0;
+    const bool background = sample.m_urgency == urgency::background;
+    state.m_background_running -= background && state.m_background_running > 0 ? 1 : 0;
     if (sample.m_cancelled) {
         return release_waiting(state, now);
     }
--- a/src/decide/traffic/admission.hpp
+++ b/src/decide/traffic/admission.hpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,7 +38,8 @@
 struct queued_call {
     std::uint64_t m_id = 0;
     urgency m_urgency = urgency::normal;
-    bool m_late = false; // can no longer be answered before m_useful_until
+    bool m_late = false;   // can no longer be answered before m_useful_until
+    bool m_onward = false; // see call_offer
     time_point m_deadline;
     std::uint64_t m_arrival_order = 0; // sequence number of the arrival
     std::string m_route;               // empty if unknown
@@ -77,6 +79,10 @@
     time_point m_limit_dropped_at; // answers to calls that started earlier are ignored
     std::vector<queued_call> m_queue;
     std::uint64_t m_next_order = 0;
+    // Slots that calls with background urgency may use. Falls while more urgent calls have to wait,
+    // and rises while they don't; infinite until one has waited.
+    double m_background_limit = std::numeric_limits<double>::infinity();
+    std::uint32_t m_background_running = 0;
     // Start times of the calls of the last second during a reported warm-up.
     std::deque<time_point> m_cold_call_starts;
     bool m_draining = false;
@@ -100,18 +106,26 @@
 // Applies the limits of a new configuration. Running calls are not interrupted.
 void set_admission_limits(admission_state& state, const admission_limits& limits);
 
+// A call that requests a slot.
+struct call_offer {
+    std::uint64_t m_id = 0;
+    urgency m_urgency = urgency::normal;
+    time_point m_deadline;
+    time_point m_useful_until{}; // when its answer loses most of its value; default if unknown
+    std::string_view m_route{};  // selects the latency estimate; empty: average over all routes
+    // Made by a backend server while it works on another call. Precedes other calls of its urgency.
+    bool m_onward = false;
+};
+
 // Requests a slot for a call: the call may run, is queued or is refused. It is refused while
 // draining, if the smoothed latency and the queue ahead of it show that its deadline cannot be met,
 // or if the queue is full of calls that are at least as urgent.
 //
-// useful_until, if known, is the time at which the answer loses most of its value. A call that
-// would wait past it is refused as well; otherwise every call would be answered late in a sustained
-// overload. A call for which this time has already passed queues behind all others of its urgency.
-//
-// route selects the latency estimate; calls without a route use the average over all routes.
-admission_result admission_offer(admission_state& state, std::uint64_t call, urgency level,
-                                 time_point deadline, time_point now, time_point useful_until = {},
-                                 std::string_view route = {});
+// A call that would wait past the time until which its answer is useful is refused as well;
+// otherwise every call would be answered late in a sustained overload. A call for which this time
+// has already passed queues behind all others of its urgency. An onward call is refused only if it
+// would miss its deadline, because the call that it serves would fail with it.
+admission_result admission_offer(admission_state& state, const call_offer& call, time_point now);
 
 // Outcome of a call that ran.
 struct call_sample {
@@ -120,6 +134,7 @@
     bool m_failed = false;    // connection refused or cut, timeout or 5xx
     bool m_shed = false;      // the backend server rejected the call as overloaded
     bool m_cancelled = false; // gives no information about the server
+    urgency m_urgency = urgency::normal;
 };
 
 // IDs of the calls that left the queue.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -156,6 +156,7 @@
         const time_point now = m_state.now();
         m_drain_deadline =
             now + m_state.m_settings.m_drain_timeout * 9 / 10; // the rest is for exiting
+        m_state.m_traffic->end_calls_by(now + m_state.m_settings.m_drain_timeout * 5 / 6);
         m_refuse_at = now + m_state.m_settings.m_announce_time;
         m_earliest_stop = std::max(now + min_drain_time, m_refuse_at + refusal_time);
         m_state.m_leaving = true;
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -52,7 +52,13 @@
                                "Values of the configuration in force that are not known here")),
           m_members(add_gauge_family("caraway_members", "Members known, by state")),
           m_load(add_gauge_family("caraway_admission_calls",
-                                  "Calls at the own backend server, by state")) {}
+                                  "Calls at the own backend server, by state")),
+          m_background_slots(
+              add_gauge_family("caraway_background_slots", "Slots that background calls may use")),
+          m_limited_routes(add_gauge_family("caraway_limited_routes",
+                                            "Routes of which only a part of the calls is let in")),
+          m_link_backlog(add_gauge_family("caraway_link_backlog_seconds",
+                                          "Time until the large answers that are due are sent")) {}
 
     prometheus::Family<prometheus::Counter>& add_counter_family(const char* name,
                                                                 const char* help) {
@@ -116,6 +122,9 @@
     prometheus::Family<prometheus::Gauge>& m_unknown_config_values;
     prometheus::Family<prometheus::Gauge>& m_members;
     prometheus::Family<prometheus::Gauge>& m_load;
+    prometheus::Family<prometheus::Gauge>& m_background_slots;
+    prometheus::Family<prometheus::Gauge>& m_limited_routes;
+    prometheus::Family<prometheus::Gauge>& m_link_backlog;
 
 private:
     std::shared_mutex m_cache_mutex;
@@ -172,6 +181,13 @@
     m_impl->m_members.Add({{"state", std::string(state)}}).Set(static_cast<double>(count));
 }
 
+void node_metrics::set_overload(double background_slots, std::uint64_t limited_routes,
+                                double link_backlog_s) {
+    m_impl->m_background_slots.Add({}).Set(background_slots);
+    m_impl->m_limited_routes.Add({}).Set(static_cast<double>(limited_routes));
+    m_impl->m_link_backlog.Add({}).Set(link_backlog_s);
+}
+
 void node_metrics::set_load(std::uint32_t running, std::uint32_t waiting, std::uint32_t limit) {
     m_impl->m_load.Add({{"state", "running"}}).Set(running);
     m_impl->m_load.Add({{"state", "waiting"}}).Set(waiting);
--- a/src/observe/metrics.hpp
+++ b/src/observe/metrics.hpp
@@ -39,6 +39,9 @@
     void set_members(std::string_view state, std::uint64_t count);
     // Sets the running and waiting calls of the own backend server and its concurrency limit.
     void set_load(std::uint32_t running, std::uint32_t waiting, std::uint32_t limit);
+    // Sets the slots that background calls may use, the number of routes of which only a part of
+    // the calls is let in, and the seconds until the large answers that are due have been sent.
+    void set_overload(double background_slots, std::uint64_t limited_routes, double link_backlog_s);
     // Returns the counters of bytes exchanged with other nodes, to which the calling code adds.
     // Owned by this object.
     byte_account& moved_bytes();
--- a/src/traffic/admission_gate.cpp
+++ b/src/traffic/admission_gate.cpp
@@ -69,9 +69,13 @@
         const time_point now = m_clock.now();
         cold = is_cold(m_state, now);
         const time_point deadline = control.deadline();
-        const admission_result offer_result =
-            admission_offer(m_state, call, request.m_urgency, deadline, now, request.m_useful_until,
-                            request.m_route);
+        const call_offer offer{call,
+                               request.m_urgency,
+                               deadline,
+                               request.m_useful_until,
+                               request.m_route,
+                               request.m_onward};
+        const admission_result offer_result = admission_offer(m_state, offer, now);
         if (is_recording()) {
             record_input(recorded_component, "offer", now,
                          {{"call", call},
@@ -168,7 +172,8 @@
 admission_gate::load_counts admission_gate::current_load() const {
     const std::lock_guard lock(m_mutex);
     return {m_state.m_running, static_cast<std::uint32_t>(m_state.m_queue.size()),
-            static_cast<std::uint32_t>(m_state.m_cold_limit)};
+            static_cast<std::uint32_t>(m_state.m_cold_limit),
+            std::min<double>(m_state.m_background_limit, m_state.m_limits.m_slots)};
 }
 
 void admission_gate::set_verdict(std::uint64_t call, verdict value) {
--- a/src/traffic/admission_gate.hpp
+++ b/src/traffic/admission_gate.hpp
@@ -21,6 +21,7 @@
     // When the answer loses most of its value to the caller; time_point{} if unknown.
     time_point m_useful_until;
     std::string_view m_route;
+    bool m_onward = false; // see call_offer
 };
 
 // Queues calls until the own backend server has a free slot for them. Safe to use from any thread.
@@ -59,6 +60,7 @@
         std::uint32_t m_running = 0;
         std::uint32_t m_waiting = 0;
         std::uint32_t m_limit = 0;
+        double m_background_slots = 0; // see admission_state::m_background_limit
     };
     load_counts current_load() const;
 
@@ -90,7 +92,10 @@
 // Owns an acquired slot and releases it on destruction, so that it is freed on every path.
 class admission_slot {
 public:
-    explicit admission_slot(admission_gate& gate) : m_gate(gate) { m_sample.m_cancelled = true; }
+    admission_slot(admission_gate& gate, urgency level) : m_gate(gate) {
+        m_sample.m_cancelled = true;
+        m_sample.m_urgency = level;
+    }
     admission_slot(const admission_slot&) = delete;
     admission_slot& operator=(const admission_slot&) = delete;
     admission_slot(admission_slot&&) = delete;
--- a/src/traffic/backend_side.cpp
+++ b/src/traffic/backend_side.cpp
@@ -24,6 +24,7 @@
     bool m_sent = false;
     bool m_replayed = false;  // the response is from an earlier attempt with the same key
     duration m_retry_after{}; // if refused for overload: estimated time until there is capacity
+    capacity_waits m_waits;   // for a slot, and of the onward calls made for this call
 };
 
 // Waits until this node's configuration reaches the sender's version, at most for the configured
@@ -222,6 +223,39 @@
     return std::nullopt;
 }
 
+// Lists a call among those that the own backend server is working on for the lifetime of the guard.
+class served_call_guard {
+public:
+    served_call_guard(traffic_context& context, const call_info& info)
+        : m_context(context), m_number(info.m_request_number) {
+        if (!m_number.empty()) {
+            const std::lock_guard lock(m_context.m_served_mutex);
+            m_context.m_served_calls.insert_or_assign(
+                m_number, served_call{{info.m_urgency, info.m_useful_until, info.m_hop}, {}});
+        }
+    }
+    served_call_guard(const served_call_guard&) = delete;
+    served_call_guard& operator=(const served_call_guard&) = delete;
+    served_call_guard(served_call_guard&&) = delete;
+    served_call_guard& operator=(served_call_guard&&) = delete;
+    ~served_call_guard() { end(); }
+
+    // Ends the call and returns the waits of its onward calls.
+    capacity_waits end() {
+        if (m_number.empty()) {
+            return {};
+        }
+        const std::lock_guard lock(m_context.m_served_mutex);
+        const auto ended = m_context.m_served_calls.extract(m_number);
+        m_number.clear();
+        return ended.empty() ? capacity_waits{} : ended.mapped().m_waits;
+    }
+
+private:
+    traffic_context& m_context;
+    std::string m_number;
+};
+
 // Runs an admitted call: connects, claims the idempotency key if there is one, and sends the
 // request.
 server_result run_admitted(traffic_context& context, call_control& control, const call_info& info,
@@ -258,7 +292,9 @@
         return result;
     }
     const time_point sent_at = context.m_clock.now();
+    served_call_guard served(context, info);
     result = call_server(context, control, info, *open_connection, request, yield);
+    result.m_waits = served.end();
     const duration latency = context.m_clock.now() - sent_at;
     context.m_server_pool.return_connection(std::move(open_connection));
     record_call_result(context, info, snapshot, result, latency, cold, slot.m_sample);
@@ -289,6 +325,14 @@
                                static_cast<std::uint64_t>(to_us(result.m_retry_after)));
         }
     }
+    reply.m_waits = result.m_waits;
+    if (result.m_waits.m_waited > duration{}) {
+        set_numeric_header(reply.m_message, header::waited_us,
+                           static_cast<std::uint64_t>(to_us(result.m_waits.m_waited)));
+    }
+    if (result.m_waits.m_refused) {
+        set_header(reply.m_message, header::onward_refused, "1");
+    }
     reply.m_version = context.m_snapshot.load()->m_own_server.m_version;
     set_header(reply.m_message, header::backend_version, reply.m_version);
     const server_quality quality = context.m_gate.quality();
@@ -299,19 +343,47 @@
     return reply;
 }
 
+// Returns by how much a call would miss its useful time, or its deadline once that has passed,
+// because of the large answers that have to be sent before its own. 0 or less if it would not.
+duration transfer_excess(const traffic_context& context, const call_control& control,
+                         const call_info& info) {
+    if (!info.m_large_answer) {
+        return {};
+    }
+    const time_point now = context.m_clock.now();
+    const time_point latest = info.m_useful_until > now
+                                  ? std::min(info.m_useful_until, control.deadline())
+                                  : control.deadline();
+    return now + context.m_link_pacer.expected_transfer_time(now) - latest;
+}
+
 // Waits for a slot and runs the call.
 server_result admit_and_run(traffic_context& context, call_control& control, const call_info& info,
                             const routing_snapshot& snapshot, key_claim* key, http_request& request,
                             asio::yield_context yield) {
     server_result result;
     bool cold = false;
-    const admission_request slot_request{info.m_urgency, info.m_useful_until, info.m_route};
+    const admission_request slot_request{info.m_urgency, info.m_useful_until, info.m_route,
+                                         info.m_hop > 1};
+    if (const duration excess = transfer_excess(context, control, info); excess > duration{}) {
+        result.m_retry_after = excess;
+        fail(result.m_reason, error_kind::queue_full, "the link is busy with large answers");
+        return result;
+    }
+    std::optional<link_pacer::running_guard> running;
+    if (info.m_large_answer) {
+        running.emplace(context.m_link_pacer);
+    }
+    const time_point arrived = context.m_clock.now();
     if (!context.m_gate.acquire_slot(control, slot_request, cold, result.m_retry_after, yield,
                                      result.m_reason)) {
         return result;
     }
-    admission_slot slot(context.m_gate);
-    return run_admitted(context, control, info, snapshot, cold, slot, key, request, yield);
+    const duration waited = context.m_clock.now() - arrived;
+    admission_slot slot(context.m_gate, info.m_urgency);
+    result = run_admitted(context, control, info, snapshot, cold, slot, key, request, yield);
+    result.m_waits.m_waited += waited;
+    return result;
 }
 
 // Runs a call with an idempotency key, or returns the response of the attempt that holds the key.
@@ -399,6 +471,13 @@
                                                });
 }
 
+// Returns the urgency that the sender states for an onward call, or nothing.
+std::optional<urgency> inherited_urgency(const http_request& request) {
+    const auto level = numeric_header_value(request, header::urgency);
+    return level && *level < urgency_levels ? std::optional(static_cast<urgency>(*level))
+                                            : std::nullopt;
+}
+
 } // namespace
 
 call_reply handle_backend_call(traffic_context& context, call_control& control,
@@ -428,8 +507,9 @@
             path_of(std::string_view(request.target().data(), request.target().size())));
         if (route != nullptr && leads_to(*route, info.m_service)) {
             info.m_route = route->m_path;
-            info.m_urgency = route->m_urgency;
+            info.m_urgency = inherited_urgency(request).value_or(route->m_urgency);
             info.m_idempotent = route->m_idempotent;
+            info.m_large_answer = route->m_large_answers;
             timeout = route->m_timeout;
         }
     }
@@ -443,7 +523,7 @@
     context.report_newer_version(header_value(request, header::instance), sender_version,
                                  snapshot->m_config_version);
     strip_hop_by_hop_headers(request);
-    control.begin_call(now + time_allowed);
+    control.begin_call(context.deadline_of(now, time_allowed));
     return run_backend_call(context, control, info, sender_version, request, yield);
 }
 
--- a/src/traffic/call_control.cpp
+++ b/src/traffic/call_control.cpp
@@ -58,6 +58,14 @@
     set_time_limit(std::min(m_time_limit, deadline));
 }
 
+void call_control::limit_running_call(time_point latest) {
+    asio::post(m_strand, [self = shared_from_this(), latest] {
+        if (self->m_in_call) {
+            self->set_deadline(latest);
+        }
+    });
+}
+
 void call_control::end_call() {
     ++m_call_number;
     m_in_call = false;
@@ -242,6 +250,13 @@
     return m_controls.size();
 }
 
+void control_set::limit_deadlines(time_point latest) {
+    const std::lock_guard lock(m_mutex);
+    for (const auto& control : m_controls) {
+        control->limit_running_call(latest);
+    }
+}
+
 void control_set::stop_all() {
     const std::lock_guard lock(m_mutex);
     for (const auto& control : m_controls) {
--- a/src/traffic/call_control.hpp
+++ b/src/traffic/call_control.hpp
@@ -48,6 +48,8 @@
     void begin_call(time_point deadline);
     // Brings the deadline of the running call forward. A later deadline has no effect.
     void set_deadline(time_point deadline);
+    // As set_deadline, if a call is running. Safe from any thread.
+    void limit_running_call(time_point latest);
     // Ends the call and removes its deadline. The connection's own time limit has to be set again.
     void end_call();
     // Cancels the running call, if any, as if the caller had closed the connection.
@@ -138,6 +140,8 @@
     void remove(const std::shared_ptr<call_control>& control);
     std::size_t size() const;
     void stop_all();
+    // Brings the deadlines of all running calls forward to at most this time.
+    void limit_deadlines(time_point latest);
 
 private:
     mutable std::mutex m_mutex;
--- a/src/traffic/entry_side.cpp
+++ b/src/traffic/entry_side.cpp
@@ -34,6 +34,7 @@
     std::shared_ptr<const routing_snapshot> m_snapshot;
     const service_view* m_service = nullptr;
     const route_spec* m_route = nullptr;
+    bool m_serves_another = false; // made by the own backend server while it works on a call
     std::vector<bool> m_tried;
     std::uint32_t m_attempts = 0;
     std::uint32_t m_server_attempts = 0;  // attempts that reached a backend server
@@ -233,6 +234,15 @@
                                  call.m_snapshot->m_config_version);
 }
 
+// Returns the waits for capacity that the next node reports in its headers.
+capacity_waits reported_waits(const http_response& answer) {
+    capacity_waits waits;
+    const auto waited = numeric_header_value(answer, header::waited_us).value_or(0);
+    waits.m_waited = std::chrono::microseconds(std::min(waited, max_latency_us));
+    waits.m_refused = answer.find(std::string(header::onward_refused)) != answer.end();
+    return waits;
+}
+
 // Forwards the call to the node beside the chosen backend server and returns its answer.
 call_reply forward(traffic_context& context, call_control& control, const entry_call& call,
                    const backend_view& backend, http_request& request, asio::yield_context yield) {
@@ -265,6 +275,9 @@
     set_numeric_header(request, header::config_version, call.m_snapshot->m_config_version);
     set_numeric_header(request, header::deadline_ms, allowed);
     set_numeric_header(request, header::hop, info.m_hop);
+    if (info.m_urgency_inherited) {
+        set_numeric_header(request, header::urgency, static_cast<std::uint64_t>(info.m_urgency));
+    }
     set_numeric_header(request, header::exchange, number);
     if (info.m_useful_until != time_point{}) {
         set_numeric_header(request, header::useful_ms,
@@ -302,6 +315,7 @@
     reply.m_sent = stated == outcome::answered || stated == outcome::unknown;
     reply.m_peer = backend.m_instance;
     reply.m_version = backend.m_version;
+    reply.m_waits = reported_waits(reply.m_message);
     return reply;
 }
 
@@ -338,6 +352,8 @@
     update_breaker(*backend.m_counters, reply.m_reason, backend.m_is_own, context.m_clock.now());
     update_refusals(*backend.m_counters, call.m_info, reply, context.m_clock.now());
     reply.m_message.erase(std::string(header::capacity_after_us));
+    reply.m_message.erase(std::string(header::waited_us));
+    reply.m_message.erase(std::string(header::onward_refused));
     return reply;
 }
 
@@ -350,10 +366,11 @@
 
 // Returns the error kind that decides on a retry; none means that there is no reason for one. An
 // idempotent call that the backend server answered with a status of 500 or above is retried like
-// one whose answer was lost.
+// one whose answer was lost, unless it failed because an onward call was refused for lack of
+// capacity: another attempt would add to that overload.
 error_kind retry_reason(const entry_call& call, const call_reply& reply) {
     const bool failed = reply.m_reason == error_kind::none && call.m_info.m_idempotent &&
-                        reply.m_message.result_int() >= 500;
+                        reply.m_message.result_int() >= 500 && !reply.m_waits.m_refused;
     return failed ? error_kind::connection_cut : reply.m_reason;
 }
 
@@ -490,37 +507,93 @@
     }
 }
 
+// Applies the terms of the call that this one serves, if the own backend server is working on it.
+// Returns whether that is so.
+bool inherit_terms(traffic_context& context, entry_call& call, urgency own) {
+    const std::string_view parent = parent_number(
+        call.m_info.m_request_number, context.m_settings.m_edge_headers.m_onward_separator);
+    const std::lock_guard lock(context.m_served_mutex);
+    const auto terms = inherited_terms(context.m_served_calls, parent, own);
+    if (!terms) {
+        return false;
+    }
+    call.m_info.m_urgency = terms->m_urgency;
+    call.m_info.m_urgency_inherited = true;
+    call.m_info.m_useful_until = terms->m_useful_until;
+    call.m_info.m_hop = std::max(call.m_info.m_hop, terms->m_hop);
+    return true;
+}
+
+// Returns whether a call that doesn't serve another one may enter.
+bool may_enter_route(traffic_context& context, call_control& control, const entry_call& call,
+                     time_point now) {
+    const std::lock_guard lock(context.m_entry_mutex);
+    const auto found = context.m_route_throttles.find(route_name(*call.m_route));
+    return found == context.m_route_throttles.end() ||
+           may_enter(found->second, call.m_info.m_useful_until, now, control.random());
+}
+
+// Records the waits of a call that has ended: with the call that it serves, or for its route.
+void record_waits(traffic_context& context, const entry_call& call, const call_reply& reply,
+                  time_point began) {
+    const time_point now = context.m_clock.now();
+    capacity_waits waits = reply.m_waits;
+    waits.m_refused = waits.m_refused || is_overload_refusal(reply.m_reason);
+    if (call.m_serves_another) {
+        const std::string_view parent = parent_number(
+            call.m_info.m_request_number, context.m_settings.m_edge_headers.m_onward_separator);
+        const std::lock_guard lock(context.m_served_mutex);
+        record_onward_waits(context.m_served_calls, parent, waits, began, now);
+        return;
+    }
+    const bool may_count = reply.m_reason == error_kind::none || reply.m_waits.m_refused;
+    if (!may_count || call.m_info.m_useful_until == time_point{}) {
+        return;
+    }
+    const std::lock_guard lock(context.m_entry_mutex);
+    if (context.m_route_throttles.size() >= max_tracked_routes) {
+        context.m_route_throttles.clear();
+    }
+    record_answer(
+        context.m_route_throttles[route_name(*call.m_route)],
+        {began, call.m_info.m_useful_until, reply.m_waits.m_waited, reply.m_waits.m_refused}, now);
+}
+
 // Finds the route, service and deadline of a call, then runs its attempts.
 call_reply run_entry(traffic_context& context, call_control& control, entry_call& call,
                      http_request& request, asio::yield_context yield) {
     const auto refused = [&context](error_kind kind, std::string_view text) {
         return make_error_reply(context, {kind, std::string(text)}, false);
     };
-    const bool onward = call.m_info.m_hop > 1;
     if (!call.m_snapshot->m_ready || !call.m_snapshot->m_mesh) {
         return refused(error_kind::node_not_ready, "no configuration applied yet");
     }
     if (context.snapshot_is_stale()) {
         return refused(error_kind::node_not_ready, "the process was paused");
     }
+    const route_spec* route =
+        match_route(*call.m_snapshot->m_mesh, host_of(request), path_of(target_of(request)));
+    call.m_serves_another =
+        inherit_terms(context, call, route == nullptr ? urgency::normal : route->m_urgency);
     if (call.m_info.m_hop > max_hops) {
         return refused(error_kind::hop_limit, "the chain of calls is too deep");
     }
     // Onward calls belong to work in progress, which an instance that is leaving still finishes.
-    if (!onward &&
+    if (call.m_info.m_hop <= 1 &&
         (context.m_draining.load(std::memory_order_relaxed) || call.m_snapshot->m_draining)) {
         return refused(error_kind::draining, "the instance is leaving");
     }
-    const route_spec* route =
-        match_route(*call.m_snapshot->m_mesh, host_of(request), path_of(target_of(request)));
     if (route == nullptr) {
         return refused(error_kind::no_route, "no route has a prefix of this path");
     }
     call.m_info.m_route = route->m_path;
     call.m_info.m_service = choose_service(context, *route);
     call.m_route = route;
-    call.m_info.m_urgency = route->m_urgency;
+    if (!call.m_serves_another) {
+        call.m_info.m_urgency = route->m_urgency;
+    }
     call.m_info.m_idempotent = route->m_idempotent;
+    call.m_info.m_large_answer = route->m_large_answers;
     const auto service = call.m_snapshot->m_services.find(call.m_info.m_service);
     if (service == call.m_snapshot->m_services.end()) {
         return refused(error_kind::no_backend_server, "the service is not known here");
@@ -532,17 +605,22 @@
         return refused(error_kind::deadline_before_send, "the caller's deadline has passed");
     }
     const time_point now = context.m_clock.now();
-    if (route->m_target_latency.count() > 0) {
+    if (!call.m_serves_another && route->m_target_latency.count() > 0) {
         call.m_info.m_useful_until =
             now + route->m_target_latency - record_caller_deadline(context, *route, stated, now);
     }
-    control.begin_call(now + allowed);
+    control.begin_call(context.deadline_of(now, allowed));
+    if (!call.m_serves_another && !may_enter_route(context, control, call, now)) {
+        return refused(error_kind::queue_full, "the services behind the route are overloaded");
+    }
     strip_hop_by_hop_headers(request);
     if (!context.m_settings.m_edge_headers.m_caller_service.empty()) {
         set_header(request, context.m_settings.m_edge_headers.m_caller_service,
                    call.m_snapshot->m_own_server.m_service);
     }
-    return run_attempts(context, control, call, request, yield);
+    call_reply reply = run_attempts(context, control, call, request, yield);
+    record_waits(context, call, reply, now);
+    return reply;
 }
 
 } // namespace
--- a/src/traffic/http_message.hpp
+++ b/src/traffic/http_message.hpp
@@ -29,6 +29,8 @@
 // Milliseconds until an answer loses most of its value to the caller.
 constexpr std::string_view useful_ms = "x-caraway-useful-ms";
 constexpr std::string_view hop = "x-caraway-hop";
+// Urgency that an onward call has inherited, as the number of the level.
+constexpr std::string_view urgency = "x-caraway-urgency";
 constexpr std::string_view first_sent = "x-caraway-first-sent";
 constexpr std::string_view instance = "x-caraway-instance";
 constexpr std::string_view outcome = "x-caraway-outcome";
@@ -40,6 +42,10 @@
 constexpr std::string_view failures = "x-caraway-failures";
 // On an overload refusal: microseconds until the backend server is expected to have capacity.
 constexpr std::string_view capacity_after_us = "x-caraway-room-after-us";
+// Microseconds for which the call and its onward calls waited for capacity.
+constexpr std::string_view waited_us = "x-caraway-waited-us";
+// Present if an onward call of the call was refused for lack of capacity.
+constexpr std::string_view onward_refused = "x-caraway-onward-refused";
 constexpr std::string_view replayed = "x-caraway-replayed";
 constexpr std::string_view backend_shed = "x-caraway-backend-shed";
 // Number of one exchange between two nodes, repeated in the answer. An answer with another number
--- a/src/traffic/served_connection.cpp
+++ b/src/traffic/served_connection.cpp
@@ -140,8 +140,11 @@
 
 bool write_answer(traffic_context& context, call_control& control, http_response& answer,
                   asio::yield_context yield) {
-    control.set_time_limit(context.m_clock.now() + write_timeout);
     error_code failed;
+    if (context.m_link_pacer.is_paced(answer.body().size())) {
+        return !context.m_link_pacer.write(control, answer, context.m_clock, write_timeout, yield);
+    }
+    control.set_time_limit(context.m_clock.now() + write_timeout);
     http::serializer<false, http::string_body> serializer(answer);
     http::async_write(control.incoming(), serializer, yield[failed]);
     return !failed;
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -61,6 +61,7 @@
     std::uint64_t next_seed();
     void refuse_connection(tcp::socket socket);
     void schedule_maintenance();
+    void export_overload(double background_slots);
     bool health_probe_is_due() const;
     void probe_health();
 
@@ -195,6 +196,7 @@
             m_context.m_keys.expire();
             const auto load = m_context.m_gate.current_load();
             m_context.m_metrics.set_load(load.m_running, load.m_waiting, load.m_limit);
+            export_overload(load.m_background_slots);
             if (health_probe_is_due()) {
                 probe_health();
             }
@@ -202,6 +204,20 @@
         }));
 }
 
+// Updates the metrics of what is limited for lack of capacity.
+void traffic_server::impl::export_overload(double background_slots) {
+    std::uint64_t limited_routes = 0;
+    {
+        const std::lock_guard lock(m_context.m_entry_mutex);
+        for (const auto& [route, throttle] : m_context.m_route_throttles) {
+            limited_routes += throttle.m_admitted_share < 1 ? 1 : 0;
+        }
+    }
+    const duration backlog = m_context.m_link_pacer.backlog(m_context.m_clock.now());
+    m_context.m_metrics.set_overload(background_slots, limited_routes,
+                                     std::chrono::duration<double>(backlog).count());
+}
+
 // Returns true if probes are enabled, no call is in progress, and within the last interval no call
 // has ended and no probe was sent.
 bool traffic_server::impl::health_probe_is_due() const {
@@ -284,6 +300,11 @@
     m_impl->context().m_gate.drain();
 }
 
+void traffic_server::end_calls_by(time_point latest) {
+    m_impl->context().m_calls_end_by.store(latest, std::memory_order_relaxed);
+    m_impl->context().m_connections.limit_deadlines(latest);
+}
+
 std::size_t traffic_server::calls_in_progress() const {
     return m_impl->context().m_in_progress.load(std::memory_order_relaxed);
 }
--- a/src/traffic/traffic.hpp
+++ b/src/traffic/traffic.hpp
@@ -56,6 +56,10 @@
     // they did not run. Running calls and their onward calls continue.
     void drain();
 
+    // Ends all calls by this time with an answer, so that a process that exits soon after it cuts
+    // none off.
+    void end_calls_by(time_point latest);
+
     // Returns the number of calls that are running or whose response is still being sent.
     std::size_t calls_in_progress() const;
 
--- a/src/traffic/traffic_context.hpp
+++ b/src/traffic/traffic_context.hpp
@@ -9,14 +9,17 @@
 #include <unordered_map>
 
 #include "decide/traffic/balance.hpp"
+#include "decide/traffic/onward_calls.hpp"
 #include "decide/traffic/pushback.hpp"
 #include "decide/traffic/retry.hpp"
+#include "decide/traffic/route_throttle.hpp"
 #include "decide/versions/move_evidence.hpp"
 #include "observe/metrics.hpp"
 #include "observe/span.hpp"
 #include "traffic/admission_gate.hpp"
 #include "traffic/claims_over_http.hpp"
 #include "traffic/connection_pool.hpp"
+#include "traffic/link_pacer.hpp"
 #include "traffic/snapshot.hpp"
 #include "traffic/traffic.hpp"
 
@@ -48,12 +51,14 @@
     connection_pool m_peer_pool;   // to other nodes
     connection_pool m_server_pool; // to the own backend server
     admission_gate m_gate;
+    link_pacer m_link_pacer;
     key_tables m_keys;
     control_set m_connections; // of callers and other nodes
     control_set m_background;  // of work that doesn't belong to an incoming connection
     waiting_calls m_config_waiting{max_config_waiting};
 
     std::atomic<bool> m_draining{false};
+    std::atomic<time_point> m_calls_end_by{time_point::max()};  // see end_calls_by
     std::atomic<time_point> m_trusted_until{time_point::max()}; // see trust_snapshot_until
     std::atomic<std::size_t> m_in_progress{0};
     std::atomic<std::int64_t> m_last_call_end_us{0}; // steady clock; used by the health probe
@@ -61,10 +66,14 @@
     std::mutex m_evidence_mutex;
     std::map<std::string, arm_counts, std::less<>> m_evidence; // by route
 
+    std::mutex m_served_mutex;
+    served_calls m_served_calls; // at the own backend server
+
     std::mutex m_entry_mutex;
     std::unordered_map<std::string, entry_state> m_entry_states; // by service
-    // Both by host and path of the route.
+    // All by host and path of the route.
     std::unordered_map<std::string, weighted_round_robin> m_route_splits;
+    std::unordered_map<std::string, route_throttle> m_route_throttles;
     std::unordered_map<std::string, caller_history> m_caller_histories;
 
     exchange_limits limits() const {
@@ -74,6 +83,10 @@
     bool snapshot_is_stale() const {
         return m_clock.now() > m_trusted_until.load(std::memory_order_relaxed);
     }
+    // Returns the deadline of a call that may take this long, at most the end of all calls.
+    time_point deadline_of(time_point now, duration allowed) const {
+        return std::min(now + allowed, m_calls_end_by.load(std::memory_order_relaxed));
+    }
     // Reports a configuration version from a peer's message to the control thread if it is higher
     // than this node's.
     void report_newer_version(std::string_view instance, std::uint64_t version,
@@ -87,12 +100,14 @@
     std::string m_version; // of the backend server; chosen by the entry side
     urgency m_urgency = urgency::normal;
     bool m_idempotent = false;
+    bool m_large_answer = false;
     // When the answer loses most of its value to the caller; time_point{} if unknown.
     time_point m_useful_until;
     std::string m_key; // idempotency key, empty if none
     std::optional<std::uint64_t> m_first_sent_ms;
     std::string m_request_number;
-    std::uint32_t m_hop = 0; // depth in the chain of calls; 1 for a call from a caller
+    std::uint32_t m_hop = 0;          // depth in the chain of calls; 1 for a call from a caller
+    bool m_urgency_inherited = false; // m_urgency comes from the call that this one serves
     trace_context m_trace;
 };
 
@@ -103,6 +118,7 @@
     bool m_sent = false;                    // the request may have reached a backend server
     std::string m_peer;                     // instance that ran or refused the call
     std::string m_version;                  // of the backend server that ran it
+    capacity_waits m_waits;                 // at the gate, and of its onward calls
 };
 
 // Increments a counter for the lifetime of this object.
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -112,7 +112,7 @@
         for (int i = 0; i < (low_traffic ? (ms % 30 == 0 ? 1 : 0) : 2); ++i) {
             const std::uint64_t call = next_call++;
             const auto offered =
-                admission_offer(state, call, urgency::normal, now + milliseconds(500), now);
+                admission_offer(state, {call, urgency::normal, now + milliseconds(500)}, now);
             if (offered.m_verdict == admission_verdict::run) {
                 start(call);
             }
@@ -147,7 +147,7 @@
     time_point now{milliseconds(1)};
     for (std::uint64_t call = 1; call < 500; ++call) {
         const auto offered =
-            admission_offer(state, call, urgency::normal, now + milliseconds(500), now);
+            admission_offer(state, {call, urgency::normal, now + milliseconds(500)}, now);
         BOOST_TEST((offered.m_verdict == admission_verdict::run));
         now += milliseconds(20);
         call_sample sample;
@@ -201,8 +201,8 @@
                 waiting.erase(waiting.begin());
             }
             const auto level = static_cast<urgency>(random.below(3));
-            const auto result =
-                admission_offer(state, call, level, now + milliseconds(1 + random.below(60)), now);
+            const auto result = admission_offer(
+                state, {call, level, now + milliseconds(1 + random.below(60))}, now);
             if (result.m_displaced != 0) {
                 BOOST_TEST((waiting.at(result.m_displaced) > level), "seed " << seed);
                 waiting.erase(result.m_displaced);
@@ -226,7 +226,7 @@
         apply_release(admission_drain(state));
         BOOST_TEST(waiting.empty());
         const auto refused =
-            admission_offer(state, 1'000, urgency::urgent, now + milliseconds(100), now);
+            admission_offer(state, {1'000, urgency::urgent, now + milliseconds(100)}, now);
         BOOST_TEST((refused.m_reason == error_kind::draining));
     }
 }
@@ -247,7 +247,7 @@
     time_point now{};
     for (; now < limits.m_cold_until; now += milliseconds(5)) {
         const auto offered =
-            admission_offer(state, call++, urgency::normal, now + milliseconds(500), now);
+            admission_offer(state, {call++, urgency::normal, now + milliseconds(500)}, now);
         auto begun = admission_tick(state, now).m_run.size();
         begun += offered.m_verdict == admission_verdict::run ? 1 : 0;
         for (std::size_t i = 0; i < begun; ++i) {
@@ -266,7 +266,7 @@
     BOOST_TEST(!admission_tick(state, now).m_run.empty());
     BOOST_TEST(state.m_queue.empty());
     BOOST_TEST(
-        (admission_offer(state, call, urgency::normal, now + milliseconds(500), now).m_verdict ==
+        (admission_offer(state, {call, urgency::normal, now + milliseconds(500)}, now).m_verdict ==
          admission_verdict::run));
 }
 
@@ -301,8 +301,8 @@
         if (now.time_since_epoch() % milliseconds(25) == duration{} ||
             now.time_since_epoch() % milliseconds(25) == milliseconds(12)) {
             arrived[call] = now;
-            if (admission_offer(state, call, urgency::normal, now + milliseconds(2'000), now,
-                                now + target)
+            if (admission_offer(
+                    state, {call, urgency::normal, now + milliseconds(2'000), now + target}, now)
                     .m_verdict == admission_verdict::run) {
                 begun.push_back(call);
             }
@@ -355,8 +355,10 @@
         const auto offer = [&](bool is_long) {
             calls[next] = {is_long, now};
             const urgency level = is_long ? urgency::normal : urgency::urgent;
-            if (admission_offer(state, next, level, now + milliseconds(1'000), now, now + target,
-                                is_long ? "/long" : "/short")
+            if (admission_offer(state,
+                                {next, level, now + milliseconds(1'000), now + target,
+                                 is_long ? "/long" : "/short"},
+                                now)
                     .m_verdict == admission_verdict::run) {
                 begun.push_back(next);
             }
@@ -388,10 +390,11 @@
     set_admission_limits(state, limits);
     time_point now{std::chrono::seconds(10)};
     const time_point far_deadline = now + std::chrono::seconds(5);
-    admission_offer(state, 1, urgency::normal, far_deadline, now);
-    admission_offer(state, 2, urgency::normal, far_deadline, now, now + milliseconds(50));
-    admission_offer(state, 3, urgency::normal, far_deadline + milliseconds(1), now,
-                    now + std::chrono::seconds(1));
+    admission_offer(state, {1, urgency::normal, far_deadline}, now);
+    admission_offer(state, {2, urgency::normal, far_deadline, now + milliseconds(50)}, now);
+    admission_offer(
+        state, {3, urgency::normal, far_deadline + milliseconds(1), now + std::chrono::seconds(1)},
+        now);
     now += milliseconds(200); // longer than expected
     BOOST_TEST(
         (admission_finish(state, call_sample{}, now).m_run == std::vector<std::uint64_t>{3}));
@@ -411,7 +414,7 @@
     const time_point far_deadline = now + std::chrono::seconds(5);
     const auto offer = [&](std::uint64_t call, urgency level, time_point deadline,
                            time_point useful_until) {
-        return admission_offer(state, call, level, deadline, now, useful_until).m_verdict;
+        return admission_offer(state, {call, level, deadline, useful_until}, now).m_verdict;
     };
     const auto late = now - milliseconds(1);
     BOOST_TEST((offer(1, urgency::normal, far_deadline, {}) == admission_verdict::run));
@@ -437,7 +440,7 @@
     set_admission_limits(state, limits);
     const time_point now{std::chrono::seconds(10)};
     for (std::uint64_t call = 1; call <= 12; ++call) {
-        admission_offer(state, call, urgency::normal, now + std::chrono::seconds(5), now);
+        admission_offer(state, {call, urgency::normal, now + std::chrono::seconds(5)}, now);
     }
     BOOST_TEST(admission_load_permille(state, now) == 3'000U);
 
@@ -446,7 +449,7 @@
     admission_state cold = make_admission(limits);
     set_admission_limits(cold, limits);
     for (std::uint64_t call = 1; call <= 9; ++call) {
-        admission_offer(cold, call, urgency::normal, now + std::chrono::seconds(5), now);
+        admission_offer(cold, {call, urgency::normal, now + std::chrono::seconds(5)}, now);
         if (!cold.m_queue.empty()) {
             break;
         }
@@ -468,8 +471,9 @@
     time_point now{std::chrono::seconds(10)};
     std::uint64_t call = 0;
     const auto offer = [&] {
-        return admission_offer(state, ++call, urgency::normal, now + std::chrono::seconds(5), now,
-                               now + milliseconds(300));
+        return admission_offer(
+            state,
+            {++call, urgency::normal, now + std::chrono::seconds(5), now + milliseconds(300)}, now);
     };
     for (int i = 0; i < 20; ++i) {
         offer();
@@ -498,16 +502,111 @@
     call_sample sample;
     sample.m_latency = milliseconds(100);
     for (std::uint64_t call = 1; call <= 20; ++call) {
-        admission_offer(state, call, urgency::normal, now + std::chrono::seconds(5), now);
+        admission_offer(state, {call, urgency::normal, now + std::chrono::seconds(5)}, now);
         admission_finish(state, sample, now);
     }
-    admission_offer(state, 100, urgency::normal, now + std::chrono::seconds(5), now);
+    admission_offer(state, {100, urgency::normal, now + std::chrono::seconds(5)}, now);
     const time_point deadline = now + milliseconds(400);
-    BOOST_TEST((admission_offer(state, 101, urgency::normal, deadline, now).m_verdict ==
+    BOOST_TEST((admission_offer(state, {101, urgency::normal, deadline}, now).m_verdict ==
                 admission_verdict::wait));
     BOOST_TEST(admission_tick(state, deadline - milliseconds(70)).m_expired.empty());
     BOOST_TEST((admission_tick(state, deadline - milliseconds(50)).m_expired ==
                 std::vector<std::uint64_t>{101}));
 }
 
+// Guards against an onward call that is refused because its own target latency can't be met. The
+// call that it serves would fail after most of its work is done.
+BOOST_AUTO_TEST_CASE(onward_calls_are_refused_only_for_their_deadline) {
+    admission_limits limits;
+    limits.m_slots = 1;
+    limits.m_detect_cold_start = false;
+    admission_state state = make_admission(limits);
+    set_admission_limits(state, limits);
+    time_point now{std::chrono::seconds(10)};
+    const auto offer = [&](std::uint64_t call, milliseconds deadline, bool onward) {
+        return admission_offer(
+                   state,
+                   {call, urgency::normal, now + deadline, now + milliseconds(50), "/a", onward},
+                   now)
+            .m_verdict;
+    };
+    for (std::uint64_t call = 0; call < 40; ++call) { // learns that a call takes 100 ms
+        admission_offer(state, {call, urgency::normal, now + std::chrono::seconds(5)}, now);
+        now += milliseconds(100);
+        call_sample sample;
+        sample.m_route = "/a";
+        sample.m_latency = milliseconds(100);
+        admission_finish(state, sample, now);
+    }
+    admission_offer(state, {100, urgency::normal, now + std::chrono::seconds(5)}, now);
+    BOOST_TEST((offer(101, milliseconds(600), false) == admission_verdict::refuse));
+    BOOST_TEST((offer(102, milliseconds(600), true) == admission_verdict::wait));
+    BOOST_TEST((offer(103, milliseconds(120), true) == admission_verdict::refuse));
+}
+
+// Guards against long background calls that hold so many slots that more urgent calls have to wait.
+// Normal calls of 54 ms need half of the slots, background calls of 170 ms would fill the others.
+BOOST_AUTO_TEST_CASE(background_calls_leave_slots_for_more_urgent_ones) {
+    struct running_call {
+        std::uint64_t m_id;
+        urgency m_urgency;
+        time_point m_ends;
+    };
+    random_source random(11);
+    admission_limits limits;
+    limits.m_slots = 13;
+    limits.m_detect_cold_start = false;
+    admission_state state = make_admission(limits);
+    set_admission_limits(state, limits);
+    std::vector<running_call> running;
+    std::map<std::uint64_t, urgency> offered;
+    int normal_offered = 0;
+    int normal_waited = 0;
+    int background_run = 0;
+    std::uint64_t next = 1;
+    time_point now{std::chrono::seconds(10)};
+    const auto begin = [&](std::uint64_t id) {
+        const urgency level = offered.at(id);
+        background_run += level == urgency::background ? 1 : 0;
+        const int work_ms = level == urgency::background ? 170 : 54;
+        running.push_back({id, level, now + milliseconds(work_ms)});
+    };
+    const time_point end = now + std::chrono::seconds(30);
+    for (; now < end; now += milliseconds(1)) {
+        for (std::size_t i = 0; i < running.size();) {
+            if (running[i].m_ends > now) {
+                ++i;
+                continue;
+            }
+            call_sample sample;
+            sample.m_urgency = running[i].m_urgency;
+            sample.m_latency = milliseconds(sample.m_urgency == urgency::background ? 170 : 54);
+            running.erase(running.begin() + static_cast<std::ptrdiff_t>(i));
+            for (const std::uint64_t id : admission_finish(state, sample, now).m_run) {
+                begin(id);
+            }
+        }
+        for (const urgency level : {urgency::normal, urgency::background}) {
+            const double per_ms = level == urgency::normal ? 0.12 : 0.06;
+            if (random.unit() >= per_ms) {
+                continue;
+            }
+            offered[next] = level;
+            const auto verdict =
+                admission_offer(state, {next, level, now + std::chrono::seconds(2)}, now).m_verdict;
+            if (level == urgency::normal && now > end - std::chrono::seconds(20)) {
+                ++normal_offered;
+                normal_waited += verdict == admission_verdict::run ? 0 : 1;
+            }
+            if (verdict == admission_verdict::run) {
+                begin(next);
+            }
+            ++next;
+        }
+    }
+    BOOST_TEST(normal_waited < normal_offered / 10);
+    // At least one slot stays for background calls: 30 s of 170 ms calls.
+    BOOST_TEST(background_run > 176);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -350,6 +350,23 @@
     BOOST_TEST(server.runs() == 1);
 }
 
+// Guards against calls that outlast the process: their connections were cut at its exit, without an
+// answer.
+BOOST_AUTO_TEST_CASE(calls_end_with_an_answer_before_the_process_exits) {
+    fake_server server;
+    add_node("n1", "pour", server.port());
+    start();
+    caller waiting(entry());
+    waiting.send("/once/slow");
+    BOOST_TEST(wait_for_value([&server] { return server.slow_started(); }, 1U) == 1U);
+    const system_clock_source clock;
+    m_nodes.front()->m_server->end_calls_by(clock.now() + milliseconds(100));
+    BOOST_TEST(outcome_and_reason(waiting.receive()) == "unknown/deadline-after-send");
+    BOOST_TEST(outcome_and_reason(caller(entry()).call("/once/slow")) ==
+               "deadline/deadline-before-send");
+    BOOST_TEST(server.slow_started() == 1U);
+}
+
 // Guards against a process that resumes after a pause and routes calls by its outdated snapshot:
 // one call ran on a suspended version in the millisecond before the node received the suspension.
 BOOST_AUTO_TEST_CASE(stale_snapshot_is_not_used_for_routing) {
