Choose a backend server by the expected time until its answer

Callers' nodes compared mean latency times load of three random servers. With servers of unequal speed and reports that are older than most calls take, fast servers were filled, calls waited while slots were free, and a third of them changed the data centre for no gain. The new function choose_by_expected_time predicts waiting, run and network time from the last report, and lets a share of the calls leave a data centre whose callers wait. Nothing calls it yet.

--- a/src/decide/traffic/balance.hpp
+++ b/src/decide/traffic/balance.hpp
@@ -27,6 +27,14 @@
     bool m_breaker_open = false;
     bool m_refusing = false; // recently refused calls of this urgency as overloaded
     bool m_tried = false;    // has already been tried for this call
+    // The following are used only by choose_by_expected_time.
+    std::uint32_t m_slots = 0;                // from the same report; 0 if unknown
+    std::uint32_t m_mean_load_permille = 0;   // mean of the last second, from the same report
+    std::uint32_t m_slowness_permille = 1000; // present run times relative to usual ones
+    // Calls from this node that the last report does not include yet.
+    std::uint32_t m_unreported = 0;
+    double m_speed_factor = 0; // usual run times relative to other servers; 0 if unknown
+    duration m_network_time{}; // to the server and back; 0 if unknown
 };
 
 // Picks the candidate with the lowest expected cost from a small random sample; the cost combines
@@ -36,6 +44,16 @@
 std::optional<std::size_t> choose_candidate(std::span<const candidate> candidates,
                                             random_source& random);
 
+// Picks the candidate that is expected to answer first, out of a small random sample in which
+// faster servers are more frequent. The expected time consists of the waiting time for a slot, the
+// run time of this call and the network time; failures raise it. A call leaves the own data centre
+// if waiting there costs clearly more than the way to another one, with a probability that rises
+// with the gain. Candidates with an open breaker are used only if there are no others. usual_run is
+// the reference run time of the call's route, 0 if unknown. Returns an index into candidates, or
+// nothing if none can be used.
+std::optional<std::size_t> choose_by_expected_time(std::span<const candidate> candidates,
+                                                   duration usual_run, random_source& random);
+
 // Returns true if at least one usable candidate refuses calls as overloaded and every other one has
 // been tried or has an open breaker. Another attempt would then cost a server and the caller time
 // to no effect.
