Report the speed of backend servers with answers and choose servers by it, if enabled

With the new setting traffic.choose_by_expected_time, the node beside a server measures its speed and states it in the header x-caraway-speed of its answers to other nodes. Callers' nodes keep the figures with their other counters of the server, and choose_by_expected_time decides. Without the setting, nothing is measured, sent or chosen differently. New metrics caraway_server_speed and caraway_attempts_total, log events server_slow and server_usual. The attempts are counted in any case.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -41,9 +41,15 @@
 constexpr std::array<std::string_view, 6> peers_keys{
     "seeds",         "probe_interval",   "probe_timeout",
     "fetch_timeout", "join_backoff_max", "joins_per_second"};
-constexpr std::array<std::string_view, 8> traffic_keys{
-    "threads",          "max_connections", "max_body_bytes",       "max_answer_bytes",
-    "max_header_bytes", "behind_wait",     "retry_budget_percent", "retry_burst"};
+constexpr std::array<std::string_view, 9> traffic_keys{"threads",
+                                                       "max_connections",
+                                                       "max_body_bytes",
+                                                       "max_answer_bytes",
+                                                       "max_header_bytes",
+                                                       "behind_wait",
+                                                       "retry_budget_percent",
+                                                       "retry_burst",
+                                                       "choose_by_expected_time"};
 constexpr std::array<std::string_view, 3> results_keys{"retention", "entries", "bytes"};
 constexpr std::array<std::string_view, 2> shutdown_keys{"drain_timeout", "announce_time"};
 constexpr std::array<std::string_view, 3> log_keys{"trace_spans", "record_lines", "flush_interval"};
@@ -195,6 +201,7 @@
     reader.read_integer("retry_budget_percent", optional_entry, 0U, 100U,
                         settings.m_retry_budget_percent);
     reader.read_integer("retry_burst", optional_entry, 0U, 100U, settings.m_retry_burst);
+    reader.read_bool("choose_by_expected_time", optional_entry, settings.m_choose_by_expected_time);
 }
 
 } // namespace
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -82,6 +82,9 @@
     milliseconds m_behind_wait{250};
     std::uint32_t m_retry_budget_percent = 10; // retries in percent of a service's calls
     std::uint32_t m_retry_burst = 10;          // retries in the budget at the start
+    // Whether backend servers are chosen by the expected time until the answer, and answers report
+    // the speed of the own backend server. Otherwise they are chosen by load and mean latency.
+    bool m_choose_by_expected_time = false;
     // [results]
     milliseconds m_result_retention{600'000};
     std::uint32_t m_result_entries = 10'000;
--- a/src/decide/traffic/admission.cpp
+++ b/src/decide/traffic/admission.cpp
@@ -444,6 +444,11 @@
             static_cast<std::uint32_t>(1000 * state.m_failure_share), state.m_smoothed_latency};
 }
 
+std::uint32_t admission_load_bound(const admission_state& state) {
+    const std::uint32_t limit = concurrency_limit(state);
+    return state.m_warm ? std::max(limit, state.m_limits.m_slots) : limit;
+}
+
 // A server that has just failed its only permitted call reports full load, so that the fast
 // refusals of a dead server don't attract calls. A warm server's limit rises as soon as it is used,
 // so its load is relative to its slots; otherwise idle servers would look full and divert calls
@@ -454,8 +459,7 @@
         return 1000;
     }
     const auto busy = static_cast<std::uint64_t>(state.m_running) + state.m_queue.size();
-    const std::uint32_t bound = state.m_warm ? std::max(limit, state.m_limits.m_slots) : limit;
-    std::uint64_t load = 1000 * busy / bound;
+    std::uint64_t load = 1000 * busy / admission_load_bound(state);
     if (reports_cold(state, now)) {
         const auto recent_starts =
             static_cast<double>(state.m_cold_call_starts.size() + state.m_queue.size());
--- a/src/decide/traffic/admission.hpp
+++ b/src/decide/traffic/admission.hpp
@@ -155,6 +155,10 @@
 };
 server_quality admission_quality(const admission_state& state, time_point now);
 
+// Returns the number of concurrent calls to which the reported load relates: the concurrency limit,
+// or at least the slots if the server is warm.
+std::uint32_t admission_load_bound(const admission_state& state);
+
 // Returns the load that answers report to callers: running and queued calls divided by the
 // concurrency limit, or by the slots if the server is warm. 1000 means all slots are busy, more
 // means that calls are queued; the maximum is 10,000. For a server that reports a warm-up it is the
--- a/src/decide/traffic/server_speed.cpp
+++ b/src/decide/traffic/server_speed.cpp
@@ -38,6 +38,10 @@
 // Weight of a higher network time. Lower ones are taken at once, because delays in the two
 // processes only ever add to it.
 constexpr int network_rise_divisor = 16;
+// Slowness from which a server counts as slow in the log, and below which it does no longer. Random
+// variation of the run times rarely exceeds a third.
+constexpr std::uint32_t slow_permille = 1'600;
+constexpr std::uint32_t usual_permille = 1'200;
 // Bounds of the figures in a report.
 constexpr std::uint64_t max_load_permille = 10'000;
 constexpr std::uint64_t max_slots = 100'000;
@@ -120,6 +124,10 @@
     return report;
 }
 
+bool is_slow(const speed_report& report, bool was_slow) {
+    return report.m_slowness_permille >= (was_slow ? usual_permille : slow_permille);
+}
+
 std::string format_speed_report(const speed_report& report) {
     std::string text = std::to_string(report.m_mean_load_permille);
     for (const std::uint64_t value :
--- a/src/decide/traffic/server_speed.hpp
+++ b/src/decide/traffic/server_speed.hpp
@@ -58,6 +58,10 @@
 // m_held.
 speed_report report_speed(const server_speed& speed, std::string_view route, time_point now);
 
+// Returns whether a server counts as slow in the log; was_slow is the last result. The limits for
+// the two changes differ, so that small variations are not logged.
+bool is_slow(const speed_report& report, bool was_slow);
+
 // Formats a report as five decimal numbers separated by spaces; times are in microseconds.
 std::string format_speed_report(const speed_report& report);
 
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -52,7 +52,15 @@
                                "Values of the configuration in force that are not known here")),
           m_members(add_gauge_family("caraway_members", "Members known, by state")),
           m_load(add_gauge_family("caraway_admission_calls",
-                                  "Calls at the own backend server, by state")) {}
+                                  "Calls at the own backend server, by state")),
+          m_attempts(add_counter_family("caraway_attempts_total",
+                                        "Attempts of the entry side, by the data centre of the "
+                                        "backend server")),
+          m_own_attempts(m_attempts.Add({{"server_data_centre", "own"}})),
+          m_other_attempts(m_attempts.Add({{"server_data_centre", "other"}})),
+          m_speed(add_gauge_family("caraway_server_speed",
+                                   "Present run times of the own backend server relative to its "
+                                   "usual ones (slowness), and its mean load")) {}
 
     prometheus::Family<prometheus::Counter>& add_counter_family(const char* name,
                                                                 const char* help) {
@@ -116,6 +124,10 @@
     prometheus::Family<prometheus::Gauge>& m_unknown_config_values;
     prometheus::Family<prometheus::Gauge>& m_members;
     prometheus::Family<prometheus::Gauge>& m_load;
+    prometheus::Family<prometheus::Counter>& m_attempts;
+    prometheus::Counter& m_own_attempts;
+    prometheus::Counter& m_other_attempts;
+    prometheus::Family<prometheus::Gauge>& m_speed;
 
 private:
     std::shared_mutex m_cache_mutex;
@@ -178,6 +190,15 @@
     m_impl->m_load.Add({{"state", "limit"}}).Set(limit);
 }
 
+void node_metrics::count_attempt(bool own_data_centre) {
+    (own_data_centre ? m_impl->m_own_attempts : m_impl->m_other_attempts).Increment();
+}
+
+void node_metrics::set_speed(std::uint32_t slowness_permille, std::uint32_t mean_load_permille) {
+    m_impl->m_speed.Add({{"figure", "slowness"}}).Set(slowness_permille / 1000.0);
+    m_impl->m_speed.Add({{"figure", "mean_load"}}).Set(mean_load_permille / 1000.0);
+}
+
 byte_account& node_metrics::moved_bytes() {
     return m_impl->m_bytes;
 }
--- a/src/observe/metrics.hpp
+++ b/src/observe/metrics.hpp
@@ -28,6 +28,8 @@
                     error_kind reason, duration latency);
     // Counts an attempt of the entry side after the first one.
     void count_retry(std::string_view service);
+    // Counts an attempt of the entry side by the data centre of the chosen backend server.
+    void count_attempt(bool own_data_centre);
     // Adds bytes of control traffic. channel is "udp", "bulk" or "store".
     void count_control_bytes(std::string_view channel, std::uint64_t sent, std::uint64_t received);
     // Counts a call to the key-value store by its result.
@@ -39,6 +41,9 @@
     void set_members(std::string_view state, std::uint64_t count);
     // Sets the running and waiting calls of the own backend server and its concurrency limit.
     void set_load(std::uint32_t running, std::uint32_t waiting, std::uint32_t limit);
+    // Sets the present run times of the own backend server relative to its usual ones, and its mean
+    // load, both in permille.
+    void set_speed(std::uint32_t slowness_permille, std::uint32_t mean_load_permille);
     // Returns the counters of bytes exchanged with other nodes, to which the calling code adds.
     // Owned by this object.
     byte_account& moved_bytes();
--- a/src/traffic/admission_gate.cpp
+++ b/src/traffic/admission_gate.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "observe/action_text.hpp"
+#include "observe/log.hpp"
 #include "observe/recorder.hpp"
 
 namespace caraway {
@@ -29,8 +30,9 @@
 
 } // namespace
 
-admission_gate::admission_gate(boost::asio::io_context& io, const clock_source& clock)
-    : m_clock(clock), m_timer(io), m_state(make_admission({})) {}
+admission_gate::admission_gate(boost::asio::io_context& io, const clock_source& clock,
+                               bool measure_speed)
+    : m_clock(clock), m_measure_speed(measure_speed), m_timer(io), m_state(make_admission({})) {}
 
 void admission_gate::set_limits(std::uint64_t config_version, const service_spec& spec,
                                 const own_server_view& server) {
@@ -40,6 +42,9 @@
         return;
     }
     m_config_version = config_version;
+    if (server.m_server != m_server.m_server) {
+        m_speed = server_speed{}; // another incarnation may run at another speed
+    }
     m_server = server;
     const bool reports = server.m_slots != 0;
     admission_limits limits;
@@ -137,6 +142,7 @@
     const std::lock_guard lock(m_mutex);
     const time_point now = m_clock.now();
     const released_calls release = admission_finish(m_state, sample, now);
+    record_speed(sample, now);
     if (is_recording()) {
         record_input(recorded_component, "finish", now,
                      {{"latency_ns", to_ns(sample.m_latency)},
@@ -158,6 +164,13 @@
     return admission_quality(m_state, m_clock.now());
 }
 
+speed_report admission_gate::speed(std::string_view route) const {
+    const std::lock_guard lock(m_mutex);
+    speed_report report = report_speed(m_speed, route, m_clock.now());
+    report.m_slots = admission_load_bound(m_state);
+    return report;
+}
+
 void admission_gate::drain() {
     const std::lock_guard lock(m_mutex);
     const released_calls release = admission_drain(m_state);
@@ -192,7 +205,30 @@
 }
 
 void admission_gate::update_load() {
-    m_load.store(admission_load_permille(m_state, m_clock.now()), std::memory_order_relaxed);
+    const time_point now = m_clock.now();
+    const std::uint32_t load = admission_load_permille(m_state, now);
+    if (m_measure_speed) {
+        record_load(m_speed, load, now);
+    }
+    m_load.store(load, std::memory_order_relaxed);
+}
+
+// Adds a successful answer to the estimate of the speed, and logs when the server becomes slow and
+// when it is as fast as usual again.
+void admission_gate::record_speed(const call_sample& sample, time_point now) {
+    if (!m_measure_speed || sample.m_failed || sample.m_shed || sample.m_cancelled) {
+        return;
+    }
+    record_run_time(m_speed, sample.m_route, sample.m_latency, now);
+    const speed_report report = report_speed(m_speed, {}, now);
+    if (is_slow(report, m_slow) == m_slow) {
+        return;
+    }
+    m_slow = !m_slow;
+    log_event(log_level::info, m_slow ? "server_slow" : "server_usual",
+              {{"slowness_permille", report.m_slowness_permille},
+               {"mean_load_permille", report.m_mean_load_permille},
+               {"running", m_state.m_running}});
 }
 
 void admission_gate::start_ticking() {
--- a/src/traffic/admission_gate.hpp
+++ b/src/traffic/admission_gate.hpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include "decide/traffic/admission.hpp"
+#include "decide/traffic/server_speed.hpp"
 #include "traffic/call_control.hpp"
 #include "traffic/snapshot.hpp"
 
@@ -26,7 +27,9 @@
 // Queues calls until the own backend server has a free slot for them. Safe to use from any thread.
 class admission_gate {
 public:
-    admission_gate(boost::asio::io_context& io, const clock_source& clock);
+    // measure_speed tells whether the gate estimates the server's speed.
+    admission_gate(boost::asio::io_context& io, const clock_source& clock,
+                   bool measure_speed = false);
 
     // Applies the limits of a configuration and the own server's report. Does nothing if the
     // configuration is older than the last one, or the same with an unchanged report.
@@ -54,6 +57,9 @@
     std::uint32_t load_permille() const { return m_load.load(std::memory_order_relaxed); }
     // Returns the figures about the backend server that every response carries.
     server_quality quality() const;
+    // Returns the speed of the backend server for an answer to a call of the route; the caller sets
+    // m_held.
+    speed_report speed(std::string_view route) const;
     // Numbers of running and waiting calls, and the current concurrency limit.
     struct load_counts {
         std::uint32_t m_running = 0;
@@ -72,10 +78,12 @@
     void set_verdict(std::uint64_t call, verdict value);
     void apply_release(const released_calls& release);
     void update_load();
+    void record_speed(const call_sample& sample, time_point now);
     void start_ticking();
     void tick();
 
     const clock_source& m_clock;
+    const bool m_measure_speed;
     boost::asio::steady_timer m_timer;
     mutable std::mutex m_mutex; // never held during I/O
     bool m_ticking = false;
@@ -83,6 +91,8 @@
     own_server_view m_server;
     std::uint64_t m_next_call = 1;
     admission_state m_state;
+    server_speed m_speed;
+    bool m_slow = false; // as last logged
     std::unordered_map<std::uint64_t, std::shared_ptr<waiting_call>> m_waiting;
     std::atomic<std::uint32_t> m_load{0};
 };
--- a/src/traffic/backend_side.cpp
+++ b/src/traffic/backend_side.cpp
@@ -265,8 +265,10 @@
     return result;
 }
 
-// Converts the result of a call at the own server into this node's reply.
-call_reply make_reply(traffic_context& context, server_result result) {
+// Converts the result of a call at the own server into this node's reply. The call arrived at
+// start.
+call_reply make_reply(traffic_context& context, const call_info& info, time_point start,
+                      server_result result) {
     call_reply reply;
     if (result.m_answer) {
         reply.m_message = std::move(*result.m_answer);
@@ -296,6 +298,11 @@
     set_numeric_header(reply.m_message, header::failures, quality.m_failure_permille);
     set_numeric_header(reply.m_message, header::latency_us,
                        static_cast<std::uint64_t>(to_us(quality.m_latency)));
+    if (context.m_settings.m_choose_by_expected_time) {
+        speed_report speed = context.m_gate.speed(info.m_route);
+        speed.m_held = context.m_clock.now() - start;
+        set_header(reply.m_message, header::speed, format_speed_report(speed));
+    }
     return reply;
 }
 
@@ -381,7 +388,8 @@
     trace.m_span = control.random()() | 1U;
     rewrite_for_server(context, info, trace, request);
     call_reply reply =
-        make_reply(context, check_and_run(context, control, info, sender_version, request, yield));
+        make_reply(context, info, start,
+                   check_and_run(context, control, info, sender_version, request, yield));
     context.m_last_call_end_us.store(to_us(context.m_clock.now().time_since_epoch()),
                                      std::memory_order_relaxed);
     record_call_end(context, "backend", info, trace, reply, 1, start, wall_start);
--- a/src/traffic/entry_side.cpp
+++ b/src/traffic/entry_side.cpp
@@ -7,6 +7,7 @@
 #include "decide/traffic/balance.hpp"
 #include "decide/traffic/pushback.hpp"
 #include "traffic/backend_side.hpp"
+#include "traffic/known_speed.hpp"
 
 namespace caraway {
 namespace {
@@ -38,6 +39,10 @@
     std::uint32_t m_attempts = 0;
     std::uint32_t m_server_attempts = 0;  // attempts that reached a backend server
     std::uint32_t m_refused_attempts = 0; // attempts refused before they reached a backend server
+    // Run times of the service's routes, protected by m_entry_mutex; null if the backend server is
+    // not chosen by the expected time until the answer. Entries are never removed.
+    route_references* m_references = nullptr;
+    duration m_usual_run{}; // of this call's route; 0 if unknown
 };
 
 std::string_view target_of(const http_request& request) {
@@ -142,6 +147,7 @@
             std::chrono::microseconds(counters.m_latency_us.load(std::memory_order_relaxed));
         entry.m_load_age =
             now - time_point_from_us(counters.m_load_reported_us.load(std::memory_order_relaxed));
+        fill_speed(counters, entry);
         entry.m_breaker_open = breaker_is_open(load_breaker(counters), now);
         entry.m_refusing = is_refusing(read_refusal_state(counters), call.m_info.m_urgency, now);
         entry.m_tried = call.m_tried[i];
@@ -164,7 +170,9 @@
     if (is_overloaded(candidates)) {
         return {std::nullopt, error_kind::queue_full};
     }
-    return {choose_candidate(candidates, random)};
+    return {call.m_references != nullptr
+                ? choose_by_expected_time(candidates, call.m_usual_run, random)
+                : choose_candidate(candidates, random)};
 }
 
 // Chooses the backend server for a call of the new or the old version. A call of the new version
@@ -207,10 +215,10 @@
 }
 
 // Updates the counters of the backend server, and the configuration version known for its node,
-// from the headers of the answer.
+// from the headers of the answer. waited is as for update_known_speed.
 void update_backend_counters(traffic_context& context, const entry_call& call,
                              const backend_view& backend, const http_response& answer,
-                             time_point now) {
+                             time_point now, duration waited) {
     if (const auto load = numeric_header_value(answer, header::load)) {
         backend.m_counters->m_load_permille.store(
             static_cast<std::uint32_t>(std::min<std::uint64_t>(*load, 1'000'000)),
@@ -228,6 +236,10 @@
             static_cast<std::int64_t>(std::min<std::uint64_t>(*latency, max_latency_us)),
             std::memory_order_relaxed);
     }
+    if (call.m_references != nullptr) {
+        update_known_speed(*backend.m_counters, answer, call.m_info.m_route, waited,
+                           context.m_entry_mutex, *call.m_references);
+    }
     context.report_newer_version(header_value(answer, header::instance),
                                  numeric_header_value(answer, header::config_version).value_or(0),
                                  call.m_snapshot->m_config_version);
@@ -281,6 +293,7 @@
     const auto matches = [number, first_request](const http_response& candidate) {
         return matches_request(candidate, number, first_request);
     };
+    const time_point sent_at = context.m_clock.now();
     auto answer =
         exchange(control, *peer_connection, request, context.limits(), matches, yield, reason);
     if (!answer) {
@@ -294,7 +307,8 @@
         fail(reason, error_kind::internal, "the next node states no outcome");
         return failed(true);
     }
-    update_backend_counters(context, call, backend, *answer, context.m_clock.now());
+    const time_point answered_at = context.m_clock.now();
+    update_backend_counters(context, call, backend, *answer, answered_at, answered_at - sent_at);
     reply.m_message = std::move(*answer);
     strip_hop_by_hop_headers(reply.m_message);
     reply.m_message.erase(std::string(header::exchange));
@@ -311,6 +325,7 @@
     explicit outstanding_guard(std::shared_ptr<backend_counters> counters)
         : m_counters(std::move(counters)) {
         m_counters->m_outstanding.fetch_add(1, std::memory_order_relaxed);
+        m_counters->m_unreported.fetch_add(1, std::memory_order_relaxed);
     }
     outstanding_guard(const outstanding_guard&) = delete;
     outstanding_guard& operator=(const outstanding_guard&) = delete;
@@ -333,11 +348,12 @@
                                               call.m_snapshot->m_config_version, request, yield)
                            : forward(context, control, call, backend, request, yield);
     if (backend.m_is_own) {
-        update_backend_counters(context, call, backend, reply.m_message, context.m_clock.now());
+        update_backend_counters(context, call, backend, reply.m_message, context.m_clock.now(), {});
     }
     update_breaker(*backend.m_counters, reply.m_reason, backend.m_is_own, context.m_clock.now());
     update_refusals(*backend.m_counters, call.m_info, reply, context.m_clock.now());
     reply.m_message.erase(std::string(header::capacity_after_us));
+    reply.m_message.erase(std::string(header::speed));
     return reply;
 }
 
@@ -374,7 +390,8 @@
 
 // Credits the retry budget of the service for a new call and chooses its version. Returns true for
 // the new version.
-bool begin_attempts(traffic_context& context, const service_view& service, random_source& random) {
+bool begin_attempts(traffic_context& context, entry_call& call, random_source& random) {
+    const service_view& service = *call.m_service;
     const std::lock_guard lock(context.m_entry_mutex);
     const auto [entry, added] = context.m_entry_states.try_emplace(service.m_spec.m_name);
     if (added) {
@@ -382,6 +399,10 @@
                                                    context.m_settings.m_retry_burst);
     }
     budget_deposit(entry->second.m_budget);
+    if (context.m_settings.m_choose_by_expected_time) {
+        call.m_references = &entry->second.m_references;
+        call.m_usual_run = find_reference(*call.m_references, call.m_info.m_route);
+    }
     return !service.m_new_version.empty() &&
            choose_new_version(entry->second.m_share, service.m_new_weight_permille, random);
 }
@@ -390,7 +411,7 @@
 // earlier answer that states that the call may have run.
 call_reply run_attempts(traffic_context& context, call_control& control, entry_call& call,
                         http_request& request, asio::yield_context yield) {
-    bool new_version = begin_attempts(context, *call.m_service, control.random());
+    bool new_version = begin_attempts(context, call, control.random());
     call.m_tried.assign(call.m_service->m_backends.size(), false);
     std::optional<call_reply> last;
     while (true) {
@@ -413,6 +434,7 @@
         if (call.m_attempts > 1) {
             context.m_metrics.count_retry(call.m_info.m_service);
         }
+        context.m_metrics.count_attempt(backend.m_own_data_centre);
         call_reply reply = attempt_call(context, control, call, backend, request, yield);
         const error_kind failure = retry_reason(call, reply);
         ++(reached_server(reply.m_reason) ? call.m_server_attempts : call.m_refused_attempts);
--- a/src/traffic/http_message.hpp
+++ b/src/traffic/http_message.hpp
@@ -38,6 +38,8 @@
 // calls.
 constexpr std::string_view latency_us = "x-caraway-latency-us";
 constexpr std::string_view failures = "x-caraway-failures";
+// Speed and mean load of the backend server; see speed_report.
+constexpr std::string_view speed = "x-caraway-speed";
 // On an overload refusal: microseconds until the backend server is expected to have capacity.
 constexpr std::string_view capacity_after_us = "x-caraway-room-after-us";
 constexpr std::string_view replayed = "x-caraway-replayed";
--- a/src/traffic/snapshot.hpp
+++ b/src/traffic/snapshot.hpp
@@ -25,7 +25,15 @@
     std::atomic<std::uint32_t> m_failure_permille{0};
     std::atomic<std::int64_t> m_latency_us{0};
     std::atomic<std::int64_t> m_load_reported_us{0}; // time of the last load report; steady clock
-    std::atomic<std::uint32_t> m_failures{0};        // consecutive failures to reach the server
+    // Figures of the last speed report and what this node derived from them; see candidate.
+    std::atomic<std::uint32_t> m_slots{0};
+    std::atomic<std::uint32_t> m_mean_load_permille{0};
+    std::atomic<std::uint32_t> m_slowness_permille{1'000};
+    std::atomic<double> m_speed_factor{0};
+    std::atomic<std::int64_t> m_network_us{0};
+    // Calls sent since the last report; may include some that have ended without one.
+    std::atomic<std::uint32_t> m_unreported{0};
+    std::atomic<std::uint32_t> m_failures{0}; // consecutive failures to reach the server
     std::atomic<std::int64_t> m_circuit_open_until_us{0};
     // Time until which the server is assumed to refuse calls, by urgency; steady clock,
     // microseconds.
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -195,6 +195,11 @@
             m_context.m_keys.expire();
             const auto load = m_context.m_gate.current_load();
             m_context.m_metrics.set_load(load.m_running, load.m_waiting, load.m_limit);
+            if (m_context.m_settings.m_choose_by_expected_time) {
+                const speed_report speed = m_context.m_gate.speed({});
+                m_context.m_metrics.set_speed(speed.m_slowness_permille,
+                                              speed.m_mean_load_permille);
+            }
             if (health_probe_is_due()) {
                 probe_health();
             }
--- a/src/traffic/traffic_context.cpp
+++ b/src/traffic/traffic_context.cpp
@@ -30,7 +30,7 @@
       m_peer_pool(io, clock, max_idle_per_peer, settings.m_max_connections, max_idle_time_peers,
                   settings.m_source_address),
       m_server_pool(io, clock, max_idle_own_server, max_idle_own_server, max_idle_time_own_server),
-      m_gate(io, clock), m_keys(settings, clock) {}
+      m_gate(io, clock, settings.m_choose_by_expected_time), m_keys(settings, clock) {}
 
 void traffic_context::report_newer_version(std::string_view instance, std::uint64_t version,
                                            std::uint64_t own_version) const {
--- a/src/traffic/traffic_context.hpp
+++ b/src/traffic/traffic_context.hpp
@@ -11,6 +11,7 @@
 #include "decide/traffic/balance.hpp"
 #include "decide/traffic/pushback.hpp"
 #include "decide/traffic/retry.hpp"
+#include "decide/traffic/server_speed.hpp"
 #include "decide/versions/move_evidence.hpp"
 #include "observe/metrics.hpp"
 #include "observe/span.hpp"
@@ -30,6 +31,7 @@
 struct entry_state {
     retry_budget m_budget;
     version_share m_share;
+    route_references m_references; // run times of the service's routes
 };
 
 // State shared by the traffic threads of one node.
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -18,6 +18,7 @@
 #include "ctl/audit.hpp"
 #include "ctl/records.hpp"
 #include "decide/configuration/acceptance.hpp"
+#include "decide/traffic/server_speed.hpp"
 #include "decide/versions/version_move.hpp"
 #include "observe/span.hpp"
 #include "peer/wire.hpp"
@@ -121,7 +122,7 @@
     "\"time\":-9223372036854775808",
 };
 
-constexpr std::array<std::string_view, 20> http_dictionary{
+constexpr std::array<std::string_view, 21> http_dictionary{
     "\r\n",
     "\r\n\r\n",
     ": ",
@@ -134,6 +135,7 @@
     "x-caraway-reason: internal\r\n",
     "x-caraway-load: 4294967296\r\n",
     "x-caraway-config-version: -1\r\n",
+    "x-caraway-speed: 820 13 2450 91500 130007\r\n",
     "traceparent: ",
     "00-00000000000000000000000000000000-0000000000000000-00",
     "ff-",
@@ -355,6 +357,11 @@
         }
     }
     outcome_from_name(header_value(message, header::outcome));
+    if (const auto report = parse_speed_report(header_value(message, header::speed))) {
+        if (parse_speed_report(format_speed_report(*report)) != report) {
+            return "a speed report changes when written and read again";
+        }
+    }
     if constexpr (is_request) {
         const std::string target(message.target());
         if (path_of(target).find('?') != std::string_view::npos) {
--- a/tests/server_speed_test.cpp
+++ b/tests/server_speed_test.cpp
@@ -135,6 +135,17 @@
     BOOST_TEST(speed.m_routes.size() == 256U);
 }
 
+// Guards against a log line for each small variation of the speed.
+BOOST_AUTO_TEST_CASE(slow_and_usual_have_different_limits) {
+    speed_report report;
+    const auto at = [&report](std::uint32_t slowness, bool was_slow) {
+        report.m_slowness_permille = slowness;
+        return is_slow(report, was_slow);
+    };
+    BOOST_TEST((!at(1'400, false) && at(1'400, true)));
+    BOOST_TEST((at(2'000, false) && !at(1'000, true)));
+}
+
 // Guards against a mean load that depends on the number of changes instead of their duration.
 BOOST_AUTO_TEST_CASE(mean_load_is_an_average_over_time) {
     server_speed speed;
