--- a/src/observe/metrics.hpp
+++ b/src/observe/metrics.hpp
@@ -28,6 +28,8 @@
                     error_kind reason, duration latency);
     // Counts an attempt of the entry side after the first one.
     void count_retry(std::string_view service);
+    // Counts an attempt of the entry side by the data centre of the chosen backend server.
+    void count_attempt(bool own_data_centre);
     // Adds bytes of control traffic. channel is "udp", "bulk" or "store".
     void count_control_bytes(std::string_view channel, std::uint64_t sent, std::uint64_t received);
     // Counts a call to the key-value store by its result.
@@ -42,6 +44,9 @@
     // Sets the slots that background calls may use, the number of routes of which only a part of
     // the calls is let in, and the seconds until the large answers that are due have been sent.
     void set_overload(double background_slots, std::uint64_t limited_routes, double link_backlog_s);
+    // Sets the present run times of the own backend server relative to its usual ones, and its mean
+    // load, both in permille.
+    void set_speed(std::uint32_t slowness_permille, std::uint32_t mean_load_permille);
     // Returns the counters of bytes exchanged with other nodes, to which the calling code adds.
     // Owned by this object.
     byte_account& moved_bytes();
