Background slots follow the number of more urgent calls; refused onward calls wait in the end; limits tolerate some late answers

Change: background calls get the slots that more urgent ones leave at their mean number and its square root. An onward call is refused by its route's target latency twice, then waits as long as its deadline allows. A route is limited when more than 30% of its answers are late or refused.

--- a/src/decide/traffic/admission.cpp
+++ b/src/decide/traffic/admission.cpp
@@ -56,10 +56,8 @@
 constexpr double min_wait_correction = 0.25;
 constexpr double max_wait_correction = 4;
 constexpr milliseconds min_compared_wait{5};
-// Factor by which the slots for background calls fall with each more urgent call that had to wait,
-// and step by which they rise with each one that didn't. Balanced, some 7% of these calls wait.
-constexpr double background_fall = 0.9;
-constexpr double background_rise = 0.03;
+// Averaging time of the number of more urgent calls that run.
+constexpr std::chrono::duration<double> urgent_lifetime{1.0};
 // Upper bound of the reported load; beyond it, more queued calls make no difference to the callers'
 // choice.
 constexpr std::uint64_t max_load_permille = 10'000;
@@ -80,19 +78,22 @@
     return now < state.m_limits.m_cold_until && state.m_limits.m_cold_calls_per_second > 0;
 }
 
-// Adjusts the slots for background calls when a more urgent call starts. A background call holds
-// its slot until it ends, so precedence in the queue alone doesn't keep more urgent calls from
-// waiting for it.
-void update_background_limit(admission_state& state, urgency level, bool waited) {
+// Returns the mean number of running calls with more than background urgency.
+double mean_urgent_calls(const admission_state& state, time_point now) {
+    const std::chrono::duration<double> elapsed = now - state.m_urgent_changed;
+    const double weight = std::exp(-std::max(0.0, elapsed / urgent_lifetime));
+    return weight * state.m_urgent_mean + (1 - weight) * state.m_urgent_running;
+}
+
+// Adds a running call of this urgency, or removes one if change is -1.
+void count_running(admission_state& state, urgency level, int change, time_point now) {
     if (level == urgency::background) {
+        state.m_background_running += static_cast<std::uint32_t>(change);
         return;
     }
-    if (!waited) {
-        state.m_background_limit += background_rise;
-        return;
-    }
-    const double limit = std::min<double>(state.m_background_limit, concurrency_limit(state));
-    state.m_background_limit = std::max(1.0, limit * background_fall);
+    state.m_urgent_mean = mean_urgent_calls(state, now);
+    state.m_urgent_changed = now;
+    state.m_urgent_running += static_cast<std::uint32_t>(change);
 }
 
 // Returns true if one more call may start now. During a reported warm-up, the calls started in any
@@ -101,7 +102,8 @@
     if (state.m_running >= concurrency_limit(state)) {
         return false;
     }
-    if (level == urgency::background && state.m_background_running + 1 > state.m_background_limit) {
+    if (level == urgency::background &&
+        state.m_background_running >= background_slots(state, now)) {
         return false;
     }
     if (!reports_cold(state, now)) {
@@ -116,10 +118,9 @@
 }
 
 // Counts a call as started.
-void start_call(admission_state& state, urgency level, bool waited, time_point now) {
+void start_call(admission_state& state, urgency level, time_point now) {
     ++state.m_running;
-    state.m_background_running += level == urgency::background ? 1 : 0;
-    update_background_limit(state, level, waited);
+    count_running(state, level, 1, now);
     if (reports_cold(state, now)) {
         state.m_cold_call_starts.push_back(now);
     }
@@ -316,7 +317,7 @@
         const queued_call& call = state.m_queue[released_count];
         update_wait_correction(state, call, now);
         release.m_run.push_back(call.m_id);
-        start_call(state, call.m_urgency, true, now);
+        start_call(state, call.m_urgency, now);
         ++released_count;
     }
     state.m_queue.erase(state.m_queue.begin(),
@@ -354,12 +355,12 @@
         result.m_reason = error_kind::deadline_before_send;
         return result;
     }
-    // Background calls for which no slot is reserved may wait while slots are free.
+    // Background calls may wait while slots are free.
     const bool queue_allows =
         state.m_queue.empty() ||
         (level != urgency::background && state.m_queue.front().m_urgency == urgency::background);
     if (queue_allows && can_start_call(state, level, now)) {
-        start_call(state, level, false, now);
+        start_call(state, level, now);
         result.m_verdict = admission_verdict::run;
         return result;
     }
@@ -376,7 +377,7 @@
     const bool less_urgent_queued =
         !state.m_queue.empty() && state.m_queue.back().m_urgency > waiting.m_urgency;
     if (!less_urgent_queued) {
-        const bool bound_by_use = useful_until > now && !onward;
+        const bool bound_by_use = useful_until > now;
         const time_point latest = bound_by_use ? std::min(useful_until, deadline) : deadline;
         const time_point answered = now + waiting.m_expected_wait + expected_latency(state, route) +
                                     latency_reserve(state, route);
@@ -410,8 +411,12 @@
 released_calls admission_finish(admission_state& state, const call_sample& sample, time_point now) {
     const bool in_use = state.m_running >= concurrency_limit(state);
     state.m_running -= state.m_running > 0 ? 1 : 0;
-    const bool background = sample.m_urgency == urgency::background;
-    state.m_background_running -= background && state.m_background_running > 0 ? 1 : 0;
+    const std::uint32_t counted = sample.m_urgency == urgency::background
+                                      ? state.m_background_running
+                                      : state.m_urgent_running;
+    if (counted > 0) {
+        count_running(state, sample.m_urgency, -1, now);
+    }
     if (sample.m_cancelled) {
         return release_waiting(state, now);
     }
@@ -479,6 +484,13 @@
             static_cast<std::uint32_t>(1000 * state.m_failure_share), state.m_smoothed_latency};
 }
 
+// The number of calls in progress varies by about the square root of its mean.
+std::uint32_t background_slots(const admission_state& state, time_point now) {
+    const double mean = mean_urgent_calls(state, now);
+    const double left = concurrency_limit(state) - mean - std::sqrt(mean);
+    return static_cast<std::uint32_t>(std::max(1.0, std::round(left)));
+}
+
 std::uint32_t admission_load_bound(const admission_state& state) {
     const std::uint32_t limit = concurrency_limit(state);
     return state.m_warm ? std::max(limit, state.m_limits.m_slots) : limit;
--- a/src/decide/traffic/admission.hpp
+++ b/src/decide/traffic/admission.hpp
@@ -5,7 +5,6 @@
 #include <array>
 #include <cstdint>
 #include <deque>
-#include <limits>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -79,9 +78,10 @@
     time_point m_limit_dropped_at; // answers to calls that started earlier are ignored
     std::vector<queued_call> m_queue;
     std::uint64_t m_next_order = 0;
-    // Slots that calls with background urgency may use. Falls while more urgent calls have to wait,
-    // and rises while they don't; infinite until one has waited.
-    double m_background_limit = std::numeric_limits<double>::infinity();
+    // Calls with more than background urgency that run, and their mean number over the last second.
+    std::uint32_t m_urgent_running = 0;
+    double m_urgent_mean = 0;
+    time_point m_urgent_changed; // when m_urgent_running last changed
     std::uint32_t m_background_running = 0;
     // Start times of the calls of the last second during a reported warm-up.
     std::deque<time_point> m_cold_call_starts;
@@ -123,8 +123,7 @@
 //
 // A call that would wait past the time until which its answer is useful is refused as well;
 // otherwise every call would be answered late in a sustained overload. A call for which this time
-// has already passed queues behind all others of its urgency. An onward call is refused only if it
-// would miss its deadline, because the call that it serves would fail with it.
+// has already passed queues behind all others of its urgency.
 admission_result admission_offer(admission_state& state, const call_offer& call, time_point now);
 
 // Outcome of a call that ran.
@@ -174,6 +173,11 @@
 // or at least the slots if the server is warm.
 std::uint32_t admission_load_bound(const admission_state& state);
 
+// Returns the number of slots that background calls may use: those that more urgent calls leave at
+// their mean number and its usual variation, one at least. A background call holds its slot until
+// it ends, so precedence in the queue alone doesn't keep more urgent calls from waiting for it.
+std::uint32_t background_slots(const admission_state& state, time_point now);
+
 // Returns the load that answers report to callers: running and queued calls divided by the
 // concurrency limit, or by the slots if the server is warm. 1000 means all slots are busy, more
 // means that calls are queued; the maximum is 10,000. For a server that reports a warm-up it is the
--- a/src/decide/traffic/onward_calls.cpp
+++ b/src/decide/traffic/onward_calls.cpp
@@ -25,6 +25,10 @@
     return terms;
 }
 
+bool may_wait_for_deadline(std::uint32_t refusals, bool all_refuse) {
+    return all_refuse || refusals >= refusals_before_waiting;
+}
+
 // The wait is taken to lie at the beginning of the onward call. Only the part after the waits that
 // were counted before is added, since the server may make several onward calls at once.
 void record_onward_waits(served_calls& served, std::string_view parent, const capacity_waits& waits,
--- a/src/decide/traffic/onward_calls.hpp
+++ b/src/decide/traffic/onward_calls.hpp
@@ -18,8 +18,6 @@
 // Terms that an onward call inherits from the call that it serves.
 struct call_terms {
     urgency m_urgency = urgency::normal;
-    // When the answer loses most of its value to the caller; time_point{} if unknown.
-    time_point m_useful_until;
     std::uint32_t m_hop = 0; // depth in the chain of calls
 };
 
@@ -58,6 +56,16 @@
 std::optional<call_terms> inherited_terms(const served_calls& served, std::string_view parent,
                                           urgency own);
 
+// Number of refusals for lack of capacity after which an onward call is sent once more without the
+// limit of its route's target latency: only its deadline bounds its wait then. Before that, another
+// server may have a free slot. After that, a refusal would waste the work done for the call that it
+// serves.
+constexpr std::uint32_t refusals_before_waiting = 2;
+
+// Returns whether an onward call that was refused this many times, or for which all servers are
+// known to refuse, may wait for its deadline.
+bool may_wait_for_deadline(std::uint32_t refusals, bool all_refuse);
+
 // Adds the waits of an onward call, which began at `began` and ended now, to those of its parent.
 // Has no effect if the parent has ended.
 void record_onward_waits(served_calls& served, std::string_view parent, const capacity_waits& waits,
--- a/src/decide/traffic/route_throttle.cpp
+++ b/src/decide/traffic/route_throttle.cpp
@@ -9,9 +9,9 @@
 // second on a route.
 constexpr milliseconds decision_interval{250};
 constexpr std::uint32_t min_answers = 4;
-// Share of overloaded answers up to which the admitted share rises. Single late answers are
-// ordinary.
-constexpr double tolerated_share = 0.1;
+// Share of overloaded answers up to which the admitted share rises. Near the capacity some answers
+// are late whatever is let in; refusing more calls than become late would gain nothing.
+constexpr double tolerated_share = 0.3;
 // Factor and step by which the admitted share rises at each decision. A share of a tenth is back at
 // 1 within some seconds.
 constexpr double rise_factor = 1.15;
--- a/src/traffic/backend_side.cpp
+++ b/src/traffic/backend_side.cpp
@@ -231,7 +231,7 @@
         if (!m_number.empty()) {
             const std::lock_guard lock(m_context.m_served_mutex);
             m_context.m_served_calls.insert_or_assign(
-                m_number, served_call{{info.m_urgency, info.m_useful_until, info.m_hop}, {}});
+                m_number, served_call{{info.m_urgency, info.m_hop}, {}});
         }
     }
     served_call_guard(const served_call_guard&) = delete;
--- a/src/traffic/entry_side.cpp
+++ b/src/traffic/entry_side.cpp
@@ -165,11 +165,18 @@
     error_kind m_reason = error_kind::no_backend_server;
 };
 
-// Chooses a backend server of the version that has not been tried for this call.
-backend_choice choose_backend_of_version(const entry_call& call, std::string_view version,
+// Chooses a backend server of the version that has not been tried for this call. An onward call
+// that may wait for its deadline is sent to a server although that refuses calls.
+backend_choice choose_backend_of_version(entry_call& call, std::string_view version,
                                          random_source& random, time_point now) {
-    const std::vector<candidate> candidates = make_candidates(call, version, now);
-    if (is_overloaded(candidates)) {
+    std::vector<candidate> candidates = make_candidates(call, version, now);
+    const bool all_refuse = is_overloaded(candidates);
+    if (call.m_serves_another && may_wait_for_deadline(call.m_refused_attempts, all_refuse)) {
+        call.m_info.m_useful_until = time_point{};
+        for (candidate& server : candidates) {
+            server.m_refusing = false;
+        }
+    } else if (all_refuse) {
         return {std::nullopt, error_kind::queue_full};
     }
     return {call.m_references != nullptr
@@ -542,7 +549,6 @@
     }
     call.m_info.m_urgency = terms->m_urgency;
     call.m_info.m_urgency_inherited = true;
-    call.m_info.m_useful_until = terms->m_useful_until;
     call.m_info.m_hop = std::max(call.m_info.m_hop, terms->m_hop);
     return true;
 }
@@ -638,9 +644,11 @@
         return refused(error_kind::deadline_before_send, "the caller's deadline has passed");
     }
     const time_point now = context.m_clock.now();
-    if (!call.m_serves_another && route->m_target_latency.count() > 0) {
-        call.m_info.m_useful_until =
-            now + route->m_target_latency - record_caller_deadline(context, *route, stated, now);
+    if (route->m_target_latency.count() > 0) {
+        const duration elapsed = call.m_serves_another
+                                     ? duration{}
+                                     : record_caller_deadline(context, *route, stated, now);
+        call.m_info.m_useful_until = now + route->m_target_latency - elapsed;
     }
     control.begin_call(context.deadline_of(now, allowed));
     if (!call.m_serves_another && !may_enter_route(context, control, call, now)) {
