Server choice: the age at which a mean load no longer counts follows the age of reports

With 390 callers' nodes that each hear from a server every 1.7 s, the reported mean loads were too old to count, all servers looked idle, and slow ones got up to 1.18 times their share. The mean load now counts until it is older than the average report of the own data centre.

--- a/src/decide/traffic/expected_time.cpp
+++ b/src/decide/traffic/expected_time.cpp
@@ -22,10 +22,13 @@
 constexpr std::size_t remote_sample_size = 2;
 // Age at which a reported slowness no longer counts: slow periods last about 600 ms.
 constexpr seconds_real slowness_lifetime{1.0};
-// Age up to which a reported mean load counts fully, and age at which it no longer counts. A server
-// of the own data centre that has sent no answer for so long has few calls.
-constexpr seconds_real mean_load_hold{1.0};
-constexpr seconds_real mean_load_lifetime{4.0};
+// Age up to which a reported mean load counts fully, unless the reports of the own data centre are
+// older on average: that age takes its place, up to the maximum. At this multiple of the age, the
+// load no longer counts. With a fixed age, many callers that each hear rarely from a server took
+// all servers for idle and gave slow ones a sixth more than their share.
+constexpr seconds_real min_load_hold{1.0};
+constexpr seconds_real max_load_hold{10.0};
+constexpr double load_lifetime_holds = 4;
 // Age at which a reported failure share no longer counts, so that a recovered server is tried
 // again; and the number of successful calls that one failed call costs.
 constexpr seconds_real failure_lifetime{4.0};
@@ -61,7 +64,8 @@
 struct service_means {
     double m_factor = 1;        // speed factor
     double m_run = default_run; // run time of the call, or of all calls, at a factor of 1
-    double m_other_load = 0;    // load of the other data centres, as a share of the slots
+    seconds_real m_load_hold = min_load_hold; // of the own data centre's reports
+    double m_other_load = 0; // load of the other data centres, as a share of the slots
 };
 
 // Returns the weight of the last report by its age, decreasing linearly from 1 to 0 over the
@@ -71,10 +75,9 @@
 }
 
 // Returns the weight of the last reported mean load by its age.
-double mean_load_weight(const candidate& server) {
-    return std::clamp((mean_load_lifetime - seconds_real(server.m_load_age)) /
-                          (mean_load_lifetime - mean_load_hold),
-                      0.0, 1.0);
+double mean_load_weight(const candidate& server, seconds_real hold) {
+    const double holds = seconds_real(server.m_load_age) / hold;
+    return std::clamp((load_lifetime_holds - holds) / (load_lifetime_holds - 1), 0.0, 1.0);
 }
 
 // Returns the mean values; the run time is that of the call's route if known. Without a reference
@@ -87,17 +90,25 @@
     double latencies = 0;
     double known_latencies = 0;
     double known_loads = 0;
+    seconds_real ages{};
+    double known_ages = 0;
     for (const candidate& server : candidates) {
         factors += server.m_speed_factor;
         known_factors += server.m_speed_factor > 0 ? 1 : 0;
         latencies += seconds_real(server.m_latency).count();
         known_latencies += server.m_latency > duration{} ? 1 : 0;
         if (!server.m_own_data_centre) {
-            const double weight = mean_load_weight(server);
+            const double weight = mean_load_weight(server, min_load_hold);
             means.m_other_load += weight * server.m_mean_load_permille / permille;
             known_loads += weight;
+        } else if (server.m_load_age < max_load_hold) {
+            ages += server.m_load_age;
+            known_ages += 1;
         }
     }
+    if (known_ages > 0) {
+        means.m_load_hold = std::max(min_load_hold, seconds_real(ages) / known_ages);
+    }
     means.m_other_load /= std::max(known_loads, min_known_loads);
     means.m_factor = known_factors > 0 ? factors / known_factors : 1;
     if (usual_run > duration{}) {
@@ -126,7 +137,7 @@
 // the own data centre, where other callers' choices resemble those of this node, and the mean of
 // the others elsewhere, where this node's calls say nothing about the load.
 double aged_mean_load(const candidate& server, const service_means& means) {
-    const double weight = mean_load_weight(server);
+    const double weight = mean_load_weight(server, means.m_load_hold);
     return weight * server.m_mean_load_permille / permille +
            (1 - weight) * (server.m_own_data_centre ? 0 : means.m_other_load);
 }
