--- a/src/decide/traffic/admission.cpp
+++ b/src/decide/traffic/admission.cpp
@@ -484,10 +484,11 @@
             static_cast<std::uint32_t>(1000 * state.m_failure_share), state.m_smoothed_latency};
 }
 
-// The number of calls in progress varies by about the square root of its mean.
+// The number of calls in progress varies with a standard deviation of about the square root of its
+// mean; it rarely exceeds the mean by more than two of them.
 std::uint32_t background_slots(const admission_state& state, time_point now) {
     const double mean = mean_urgent_calls(state, now);
-    const double left = concurrency_limit(state) - mean - std::sqrt(mean);
+    const double left = concurrency_limit(state) - mean - 2 * std::sqrt(mean);
     return static_cast<std::uint32_t>(std::max(1.0, std::round(left)));
 }
 
