--- /dev/null
+++ b/tests/integration/invalid_answers_test.py
@@ -0,0 +1,119 @@
+"""What reaches a caller when a backend server sends answers that are not HTTP or never end. Real
+nodes on the platform, with a server that sends raw bytes."""
+import http.client
+
+from harness import Harness, run_tests, wait_until
+from platform_mesh import Instance, config
+from platform_standins import PlatformStore
+from raw_answers import ENDLESS, INVALID, UNUSUAL, RawServer
+
+READY_S = 10
+# A server may send this much of an endless answer: the limit of a body (16 MiB), the framing of the
+# chunks, and the socket buffers, which hold some megabytes that the node never reads.
+MAX_ENDLESS_BYTES = 40 << 20
+# An idempotent call that meets the faulty server is answered by the other one. After some failures
+# its circuit breaker is open and it gets single calls.
+IDEMPOTENT_CALLS = 60
+MAX_FAULTY_RUNS = 12
+
+ROUTES = [("/orders/", "non_idempotent", {"service": "orders"}),
+          ("/stock/", "idempotent", {"service": "stock"})]
+
+
+class Mesh:
+    """A node beside a server of "orders" that sends raw answers, and two nodes of "stock", one of
+    them beside such a server."""
+
+    def __enter__(self):
+        self.harness = Harness()
+        self.harness.__enter__()
+        self.store = PlatformStore()
+        self.store.put("op/config", config(5, ROUTES))
+        self.orders = Instance(self.harness, self.store, "orders-raw", "orders", "north", RawServer)
+        self.faulty = Instance(self.harness, self.store, "stock-raw", "stock", "north", RawServer)
+        self.sound = Instance(self.harness, self.store, "stock-sound", "stock", "north")
+        self.instances = [self.orders, self.faulty, self.sound]
+        wait_until(lambda: all(i.ready() for i in self.instances), READY_S, "ready")
+        for path in ("/orders/x", "/stock/x"):
+            wait_until(lambda: all(i.call(path)[0] == 200 for i in self.instances), READY_S, path)
+        return self
+
+    def __exit__(self, kind, value, trace):
+        for instance in self.instances:
+            instance.server.stopped.set()
+        self.harness.__exit__(kind, value, trace)
+
+    def call(self, entry, path):
+        """Returns the status and the body of the answer, or the name of the error if the caller
+        can't read it."""
+        try:
+            return entry.call(path)
+        except (http.client.HTTPException, OSError) as error:
+            return type(error).__name__, b""
+
+
+def test_invalid_answers_reach_no_caller():
+    """Guards against an invalid answer that reaches a caller, that runs a call twice that isn't
+    idempotent, or whose connection is used for another call."""
+    with Mesh() as mesh:
+        server, wrong = mesh.orders.server, []
+        for entry in (mesh.sound, mesh.orders):
+            for name in INVALID:
+                runs = len(server.runs)
+                status, _ = mesh.call(entry, "/orders/" + name)
+                ran = len(server.runs) - runs
+                # An ordinary call is served, so that the circuit breaker stays closed.
+                ordinary = mesh.call(entry, "/orders/x")[0]
+                later = server.names_after(name)
+                if (status, ran, ordinary, later) != (502, 1, 200, []):
+                    wrong.append((entry.name, name, status, ran, ordinary, later))
+        assert not wrong, wrong
+        return f"{2 * len(INVALID)} calls"
+
+
+def test_unusual_answers_reach_the_caller():
+    """Guards against a check that rejects valid answers, and against body bytes after an answer that
+    has no body and that are taken for the next answer on the connection."""
+    with Mesh() as mesh:
+        wrong = []
+        for entry in (mesh.sound, mesh.orders):
+            for name, (_, expected) in UNUSUAL.items():
+                answers = [mesh.call(entry, "/orders/" + name), mesh.call(entry, "/orders/x")[0]]
+                if answers != [expected, 200]:
+                    wrong.append((entry.name, name, answers))
+        assert not wrong, wrong
+
+
+def test_endless_answers_are_cut_off():
+    """Guards against an endless answer that a node reads until the call's deadline or keeps in
+    memory."""
+    with Mesh() as mesh:
+        server, wrong = mesh.orders.server, []
+        for name in ENDLESS:
+            status, _ = mesh.call(mesh.sound, "/orders/" + name)
+            ordinary = mesh.call(mesh.sound, "/orders/x")[0]
+            sent = server.bytes_sent[name]
+            if (status, ordinary) != (502, 200) or sent > MAX_ENDLESS_BYTES:
+                wrong.append((name, status, ordinary, sent))
+        assert not wrong, wrong
+        assert mesh.orders.node.running()
+        return f"{max(server.bytes_sent.values())} bytes sent at most"
+
+
+def test_idempotent_calls_are_tried_elsewhere():
+    """Guards against an invalid answer that is not tried again at another server, and against a
+    server that keeps getting calls although all its answers are invalid."""
+    with Mesh() as mesh:
+        server = mesh.faulty.server
+        ordinary = len(server.runs)
+        answers = [mesh.call(mesh.orders, "/stock/status-000") for _ in range(IDEMPOTENT_CALLS)]
+        statuses = [status for status, _ in answers]
+        assert statuses == [200] * IDEMPOTENT_CALLS, statuses
+        runs = len(server.runs) - ordinary
+        assert 0 < runs <= MAX_FAULTY_RUNS, runs
+        return f"{runs} of {IDEMPOTENT_CALLS} calls went to the faulty server first"
+
+
+if __name__ == "__main__":
+    run_tests([test_invalid_answers_reach_no_caller, test_unusual_answers_reach_the_caller,
+               test_endless_answers_are_cut_off, test_idempotent_calls_are_tried_elsewhere])
--- a/tests/integration/platform_mesh.py
+++ b/tests/integration/platform_mesh.py
@@ -54,14 +54,14 @@
 class Instance:
     """A node and the backend server beside it."""
 
-    def __init__(self, harness, store, name, service, data_centre):
+    def __init__(self, harness, store, name, service, data_centre, server_class=ReportingServer):
         self.harness, self.name = harness, name
         ports = free_ports(5)
         callers, traffic, peer, admin, reports = ports
         self.callers, self.admin = f"{HOST}:{callers}", f"{HOST}:{admin}"
         self.service, self.data_centre = service, data_centre
         self.reports = f"{HOST}:{reports}"
-        self.server = ReportingServer(service, data_centre, self.reports)
+        self.server = server_class(service, data_centre, self.reports)
         self.settings_path = harness.path(name + ".toml")
         with open(self.settings_path, "w") as out:
             out.write(SETTINGS.format(name=name, data_centre=data_centre, service=service,
