Fuzz target that feeds answers in every split

Cause: the target http parses a message in one piece, so that nothing tested what depends on where an answer is split.

Change: the target answer feeds each input whole, byte by byte and split in two at up to 400 places, with and without the end of the connection, under small limits.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 STANDIN_OBJ := $(patsubst %.cpp,$(BUILD)/%.o,$(filter-out %_main.cpp,$(wildcard standins/*.cpp)))
 
 # Tests: all tests/*.cpp and the fuzz targets form one Boost.Test program.
-FUZZ_SRC := tests/fuzz/targets.cpp tests/fuzz/driver.cpp
+FUZZ_SRC := tests/fuzz/targets.cpp tests/fuzz/answer_target.cpp tests/fuzz/driver.cpp
 TEST_SRC := $(wildcard tests/*.cpp) $(FUZZ_SRC)
 TEST_OBJ := $(TEST_SRC:%.cpp=$(BUILD)/%.o)
 BENCH_BINS := $(patsubst bench/%.cpp,$(BUILD)/bin/%,$(wildcard bench/*.cpp))
@@ -112,8 +112,9 @@
 # environment variable FUZZ_TARGET names.
 LIBFUZZER_SRC := $(wildcard src/base/*.cpp src/config/*.cpp src/decide/*/*.cpp) src/ctl/audit.cpp \
                  src/ctl/records.cpp src/observe/log.cpp src/observe/span.cpp src/peer/wire.cpp \
-                 src/store/store_json.cpp src/traffic/http_message.cpp tests/fuzz/targets.cpp \
-                 tests/fuzz/libfuzzer_main.cpp
+                 src/store/store_json.cpp src/traffic/http_message.cpp \
+                 src/traffic/answer_reader.cpp src/traffic/server_answer.cpp tests/fuzz/targets.cpp \
+                 tests/fuzz/answer_target.cpp tests/fuzz/libfuzzer_main.cpp
 libfuzzer:
 	$(MAKE) BUILD=build-libfuzzer CXX=clang++ build-libfuzzer/bin/libfuzzer \
 	  CXXFLAGS="-O1 -g1 -std=c++20 -fsanitize=fuzzer-no-link,address,undefined"
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -410,7 +410,39 @@
     return {};
 }
 
-constexpr std::array<fuzz_target, 9> targets{{
+// Parts of start lines, of framing and of framing that is invalid.
+constexpr std::array<std::string_view, 28> answer_dictionary{
+    "\r\n",
+    "\r\n\r\n",
+    "\r",
+    "\n",
+    "0\r\n",
+    "0\r\n\r\n",
+    "1\r\nx\r\n",
+    "ffffffffffffffff\r\n",
+    ";a=b",
+    ";a=\"",
+    "HTTP/1.1 ",
+    "HTTP/1.0 ",
+    "HTTP/1.1 000 Odd\r\n",
+    "HTTP/1.1 600 Odd\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\n",
+    "HTTP/1.1 204 None\r\n",
+    "HTTP/1.1 304 Same\r\n",
+    "HEAD ",
+    "Content-Length: 5\r\n",
+    "Content-Length: 0\r\n",
+    "Content-Length: -1\r\n",
+    "Content-Length: 18446744073709551615\r\n",
+    "Transfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: gzip\r\n",
+    "Connection: close\r\n",
+    "x-more: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n",
+    "\r\n ",
+    "\xff",
+};
+
+constexpr std::array<fuzz_target, 10> targets{{
     {"packet", wire_dictionary, 20, &check_packet},
     {"request", wire_dictionary, 20, &check_request},
     {"reply", wire_dictionary, 20, &check_reply},
@@ -420,6 +452,7 @@
     {"store_json", json_dictionary, 20, &check_store_json},
     {"http", http_dictionary, 20, &check_http},
     {"audit", json_dictionary, 1, &check_audit},
+    {"answer", answer_dictionary, 1, &check_answer},
 }};
 
 } // namespace
--- a/tests/fuzz/targets.hpp
+++ b/tests/fuzz/targets.hpp
@@ -15,6 +15,9 @@
     std::string (*m_check)(std::string_view){}; // returns a fault description, empty if none
 };
 
+// Checks the answer reader with these bytes; see answer_target.cpp.
+std::string check_answer(std::string_view bytes);
+
 // Returns all targets.
 std::span<const fuzz_target> fuzz_targets();
 
