Test of valid answers that arrive in pieces

Cause: the end of an empty chunked body that arrived as "0\r\n" and then a single byte ended the node's process; only a unit test guarded against it.

Change: the server of the test sends valid answers in pieces; the test checks what reaches the caller and that all nodes still run.

--- a/tests/integration/invalid_answers_test.py
+++ b/tests/integration/invalid_answers_test.py
@@ -6,7 +6,7 @@
 from harness import Harness, run_tests, wait_until
 from platform_mesh import Instance, config
 from platform_standins import PlatformStore
-from raw_answers import ENDLESS, INVALID, PAUSING, UNUSUAL, RawServer
+from raw_answers import ENDLESS, INVALID, PAUSING, PIECES, UNUSUAL, RawServer
 
 READY_S = 10
 # A server may send this much of an endless answer: the limit of a body (16 MiB), the framing of the
@@ -88,6 +88,14 @@
         assert not wrong, wrong
 
 
+def test_answers_in_pieces_reach_the_caller():
+    """Guards against a node that a server ends by the way in which it splits a valid answer."""
+    with Mesh() as mesh:
+        answers = {name: mesh.call(mesh.sound, "/orders/" + name) for name in PIECES}
+        assert answers == {name: (200, body) for name, (_, body) in PIECES.items()}, answers
+        assert all(instance.node.running() for instance in mesh.instances)
+
+
 def test_endless_answers_are_cut_off():
     """Guards against an endless answer that a node reads until the call's deadline or keeps in
     memory."""
@@ -131,5 +139,5 @@
 
 if __name__ == "__main__":
     run_tests([test_invalid_answers_reach_no_caller, test_unusual_answers_reach_the_caller,
-               test_endless_answers_are_cut_off, test_pauses_within_an_answer_are_bounded,
-               test_idempotent_calls_are_tried_elsewhere])
+               test_answers_in_pieces_reach_the_caller, test_endless_answers_are_cut_off,
+               test_pauses_within_an_answer_are_bounded, test_idempotent_calls_are_tried_elsewhere])
--- a/tests/integration/raw_answers.py
+++ b/tests/integration/raw_answers.py
@@ -85,6 +85,17 @@
 }
 
 
+# Valid answers in pieces, with PIECE_PAUSE_S between them, and the body with which they reach a caller.
+PIECE_PAUSE_S = 0.05
+PIECES = {
+    # The end of an empty chunked body in pieces of three bytes, one and one.
+    "empty-chunked": (("HTTP/1.1 200 OK\r\n{seal}Transfer-Encoding: chunked\r\n\r\n", "0\r\n", "\r",
+                       "\n"), b""),
+    "chunked": (("HTTP/1.1 200 OK\r\n{seal}Transfer-Encoding: chunked\r\n\r\n2", "\r", "\nh", "i",
+                 "\r", "\n", "0", "\r", "\n", "\r", "\n"), b"hi"),
+    "head": (("HTTP/1.1 2", "00 OK\r", "\n{seal}Content-Length: ", "2\r\n\r", "\no", "k"), b"ok"),
+}
+
 # Answers with a pause: the bytes before it and after it, and the status with which they reach a caller.
 PAUSE_S = 8  # longer than a node waits within an answer
 PAUSING = {
@@ -110,7 +121,7 @@
 
     def handle_request(self, handler, body):
         name = handler.path.rsplit("/", 1)[1]
-        known = any(name in kinds for kinds in (INVALID, UNUSUAL, ENDLESS, PAUSING))
+        known = any(name in kinds for kinds in (INVALID, UNUSUAL, ENDLESS, PIECES, PAUSING))
         self.by_connection.setdefault(handler.client_address, []).append(name if known else "")
         if not known:
             return super().handle_request(handler, body)
@@ -124,8 +135,10 @@
             handler.connection.sendall(text.replace("{seal}", seal).encode("latin-1"))
         if name in ENDLESS:
             return self._send_endlessly(handler, send, name)
+        if name in PIECES:
+            return self._send_pieces(handler, send, PIECES[name][0], PIECE_PAUSE_S)
         if name in PAUSING:
-            return self._send_with_pause(handler, send, name)
+            return self._send_pieces(handler, send, PAUSING[name][:2], PAUSE_S)
         return send(INVALID[name] if name in INVALID else UNUSUAL[name][0])
 
     def _send_endlessly(self, handler, send, name):
@@ -142,14 +155,14 @@
             pass  # the node has closed the connection
 
     @staticmethod
-    def _send_with_pause(handler, send, name):
-        handler.close_connection = True
+    def _send_pieces(handler, send, pieces, pause_s):
         try:
-            send(PAUSING[name][0])
-            time.sleep(PAUSE_S)
-            send(PAUSING[name][1])
+            send(pieces[0])
+            for piece in pieces[1:]:
+                time.sleep(pause_s)
+                send(piece)
         except OSError:
-            pass  # the node has closed the connection
+            handler.close_connection = True  # the node has closed it
 
     def names_after(self, name):
         """Returns the names of the answers that followed this one on its connection."""
