--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,8 @@
 SANITIZE_FLAGS := $(if $(SANITIZE),-fsanitize=$(SANITIZE) -fno-omit-frame-pointer \
                     -fno-sanitize-recover=undefined -Wno-maybe-uninitialized)
 CXXFLAGS += -std=c++20 -Wall -Wextra -Wpedantic -Werror -Wshadow $(SANITIZE_FLAGS)
-CPPFLAGS += -Isrc -I. -DBOOST_ASIO_DISABLE_BOOST_COROUTINE $(FIBER_FLAGS)
+# src/base/boost_assert.cpp handles failed assertions of Boost.
+CPPFLAGS += -Isrc -I. -DBOOST_ASIO_DISABLE_BOOST_COROUTINE -DBOOST_ENABLE_ASSERT_HANDLER $(FIBER_FLAGS)
 LDLIBS   := -lboost_json -lboost_context -lnng -lprotobuf -lfmt -lpopt -lprometheus-cpp-core \
             -lxxhash -lzstd -lssl -lcrypto -pthread
 CCACHE   := $(shell command -v ccache)
@@ -38,7 +39,7 @@
 STANDIN_OBJ := $(patsubst %.cpp,$(BUILD)/%.o,$(filter-out %_main.cpp,$(wildcard standins/*.cpp)))
 
 # Tests: all tests/*.cpp and the fuzz targets form one Boost.Test program.
-FUZZ_SRC := tests/fuzz/targets.cpp tests/fuzz/driver.cpp
+FUZZ_SRC := tests/fuzz/targets.cpp tests/fuzz/answer_target.cpp tests/fuzz/driver.cpp
 TEST_SRC := $(wildcard tests/*.cpp) $(FUZZ_SRC)
 TEST_OBJ := $(TEST_SRC:%.cpp=$(BUILD)/%.o)
 BENCH_BINS := $(patsubst bench/%.cpp,$(BUILD)/bin/%,$(wildcard bench/*.cpp))
@@ -112,8 +113,9 @@
 # environment variable FUZZ_TARGET names.
 LIBFUZZER_SRC := $(wildcard src/base/*.cpp src/config/*.cpp src/decide/*/*.cpp) src/ctl/audit.cpp \
                  src/ctl/records.cpp src/observe/log.cpp src/observe/span.cpp src/peer/wire.cpp \
-                 src/store/store_json.cpp src/traffic/http_message.cpp tests/fuzz/targets.cpp \
-                 tests/fuzz/libfuzzer_main.cpp
+                 src/store/store_json.cpp src/traffic/http_message.cpp \
+                 src/traffic/answer_reader.cpp src/traffic/server_answer.cpp tests/fuzz/targets.cpp \
+                 tests/fuzz/answer_target.cpp tests/fuzz/libfuzzer_main.cpp
 libfuzzer:
 	$(MAKE) BUILD=build-libfuzzer CXX=clang++ build-libfuzzer/bin/libfuzzer \
 	  CXXFLAGS="-O1 -g1 -std=c++20 -fsanitize=fuzzer-no-link,address,undefined"
