Connections without a request give way at the admin and reports ports

Cause: 16 connections that send nothing keep readiness probes and reports of the backend server out for 5 s.

Change: a connection above the limit replaces the oldest one on which no complete request has arrived. Connections with a request are kept, and a further one is closed as before.

--- a/src/traffic/admin.cpp
+++ b/src/traffic/admin.cpp
@@ -1,6 +1,8 @@
 #include "traffic/admin.hpp"
 
+#include <algorithm>
 #include <optional>
+#include <vector>
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/spawn.hpp>
@@ -27,6 +29,13 @@
 constexpr std::uint32_t max_request_header_bytes = 8U << 10U;
 constexpr std::uint64_t max_request_body_bytes = 64U << 10U;
 
+// A connection of a scraper, an operator or the backend server.
+struct admin_connection {
+    explicit admin_connection(tcp::socket socket) : m_stream(std::move(socket)) {}
+    beast::tcp_stream m_stream;
+    bool m_request_read = false;
+};
+
 // The answer to a request, for which its connection waits.
 struct pending_answer {
     explicit pending_answer(asio::io_context& io) : m_timer(io) {}
@@ -73,23 +82,38 @@
                 pause.async_wait(yield[failed]);
                 continue;
             }
-            if (m_open_connections >= max_connections) {
+            if (m_connections.size() >= max_connections && !close_silent_connection()) {
                 continue; // closes the connection; a scraper retries
             }
-            ++m_open_connections;
-            auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+            auto connection = std::make_shared<admin_connection>(std::move(socket));
+            m_connections.push_back(connection);
             asio::spawn(
                 m_io,
-                [self = shared_from_this(), stream](asio::yield_context inner) {
-                    self->serve(*stream, inner);
-                    --self->m_open_connections;
+                [self = shared_from_this(), connection](asio::yield_context inner) {
+                    self->serve(*connection, inner);
+                    std::erase(self->m_connections, connection);
                 },
                 asio::detached);
         }
     }
 
+    // Closes the oldest connection on which no complete request has arrived, so that connections
+    // without one don't keep readiness probes and reports out. Returns false if there is none.
+    bool close_silent_connection() {
+        const auto silent =
+            std::find_if(m_connections.begin(), m_connections.end(),
+                         [](const auto& connection) { return !connection->m_request_read; });
+        if (silent == m_connections.end()) {
+            return false;
+        }
+        (*silent)->m_stream.close();
+        m_connections.erase(silent);
+        return true;
+    }
+
     // Reads one request and writes its answer.
-    void serve(beast::tcp_stream& stream, asio::yield_context yield) {
+    void serve(admin_connection& connection, asio::yield_context yield) {
+        beast::tcp_stream& stream = connection.m_stream;
         stream.expires_after(connection_timeout);
         beast::flat_buffer buffer(std::size_t{2} * max_request_header_bytes);
         http::request_parser<http::string_body> parser;
@@ -100,6 +124,7 @@
         if (failed || m_stopped) {
             return;
         }
+        connection.m_request_read = true;
         const auto target = parser.get().target();
         const bool is_get = parser.get().method() == http::verb::get;
         const bool method_allowed = is_get || (m_allowed == methods::get_and_post &&
@@ -142,7 +167,7 @@
     tcp::acceptor m_acceptor;
     async_admin_handler m_handler;
     methods m_allowed;
-    std::size_t m_open_connections = 0;
+    std::vector<std::shared_ptr<admin_connection>> m_connections; // oldest first
     bool m_stopped = false;
 };
 
