Bounds for connections and requests at the peer port

Cause: a node accepts any number of connections at the peer port, each of which may send a request of 8 MiB that stops before its end. 40 connections with 7 MiB took 295 MB.

Change: a request has at most 3 MiB, since the largest one holds all members. At most 16 connections have not delivered a request and 64 are open in total; above that, the oldest one is closed. Together they hold at most 48 MiB of undelivered requests. test_peer_port also sends messages just below the new limit.

--- a/src/peer/transport.cpp
+++ b/src/peer/transport.cpp
@@ -4,7 +4,10 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <array>
+#include <mutex>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -27,6 +30,14 @@
 constexpr std::size_t max_concurrent_requests_served = 16;
 // Maximum size of a bulk message. A join reply with 14,000 members is below 3 MiB.
 constexpr std::size_t max_bulk_bytes = 8U << 20U;
+// Maximum size of a bulk request. The largest one holds all members.
+constexpr std::size_t max_request_bytes = 3U << 20U;
+// Maximum number of connections that have not delivered a request yet. The control thread computes
+// a reply within 18 ms, so a node whose request waits behind this many has nearly given up. With
+// max_request_bytes, such connections hold at most 48 MiB.
+constexpr std::size_t max_undelivered_pipes = 16;
+// Maximum number of connections of other nodes.
+constexpr std::size_t max_pipes = 64;
 
 // Returns the nng URL of an endpoint. A source address precedes the remote address, see nng_tcp(7).
 std::string nng_url(const ip_endpoint& endpoint, std::string_view source_address = {}) {
@@ -34,6 +45,65 @@
                        format_endpoint(endpoint));
 }
 
+// Connections (nng: pipes) of other nodes. When there are too many, the oldest one is closed, first
+// among those that have not delivered a request, so that connections that send nothing, or only a
+// part of a message, neither take the memory of the process nor keep other nodes out. Used by the
+// threads of nng.
+class pipe_table {
+public:
+    // Adds a connection. Returns the one that has to be closed, if any.
+    std::optional<nng_pipe> add(nng_pipe added) {
+        const std::lock_guard lock(m_mutex);
+        m_pipes.push_back({added, false});
+        const auto is_undelivered = [](const entry& pipe) { return !pipe.m_delivered; };
+        const auto undelivered = std::count_if(m_pipes.begin(), m_pipes.end(), is_undelivered);
+        auto closing = m_pipes.end();
+        if (static_cast<std::size_t>(undelivered) > max_undelivered_pipes) {
+            closing = std::find_if(m_pipes.begin(), m_pipes.end(), is_undelivered);
+        } else if (m_pipes.size() > max_pipes) {
+            closing = m_pipes.begin();
+        }
+        if (closing == m_pipes.end()) {
+            return std::nullopt;
+        }
+        const nng_pipe pipe = closing->m_pipe;
+        m_pipes.erase(closing);
+        return pipe;
+    }
+    void set_delivered(nng_pipe delivered) {
+        const std::lock_guard lock(m_mutex);
+        for (entry& pipe : m_pipes) {
+            pipe.m_delivered |= nng_pipe_id(pipe.m_pipe) == nng_pipe_id(delivered);
+        }
+    }
+    void remove(nng_pipe removed) {
+        const std::lock_guard lock(m_mutex);
+        std::erase_if(m_pipes, [removed](const entry& pipe) {
+            return nng_pipe_id(pipe.m_pipe) == nng_pipe_id(removed);
+        });
+    }
+
+private:
+    struct entry {
+        nng_pipe m_pipe;
+        bool m_delivered;
+    };
+    std::mutex m_mutex;
+    std::vector<entry> m_pipes; // oldest first
+};
+
+// Called by nng when another node has connected or a connection has ended.
+void on_pipe_event(nng_pipe pipe, nng_pipe_ev event, void* argument) {
+    auto* pipes = static_cast<pipe_table*>(argument);
+    if (event == NNG_PIPE_EV_REM_POST) {
+        pipes->remove(pipe);
+        return;
+    }
+    if (const auto surplus = pipes->add(pipe)) {
+        nng_pipe_close(*surplus);
+    }
+}
+
 } // namespace
 
 class datagram_socket::impl : public std::enable_shared_from_this<datagram_socket::impl> {
@@ -142,6 +212,8 @@
 
     // Closing the socket ends every receive. Freeing an aio waits for its callback.
     ~impl() {
+        nng_pipe_notify(m_server_socket, NNG_PIPE_EV_ADD_PRE, nullptr, nullptr);
+        nng_pipe_notify(m_server_socket, NNG_PIPE_EV_REM_POST, nullptr, nullptr);
         nng_close(m_server_socket);
         for (const auto& slot : m_slots) {
             nng_aio_free(slot->m_aio);
@@ -151,7 +223,9 @@
     bool listen(const ip_endpoint& address, error& reason) {
         int status = nng_rep0_open(&m_server_socket);
         if (status == 0) {
-            nng_socket_set_size(m_server_socket, NNG_OPT_RECVMAXSZ, max_bulk_bytes);
+            nng_socket_set_size(m_server_socket, NNG_OPT_RECVMAXSZ, max_request_bytes);
+            nng_pipe_notify(m_server_socket, NNG_PIPE_EV_ADD_PRE, on_pipe_event, &m_pipes);
+            nng_pipe_notify(m_server_socket, NNG_PIPE_EV_REM_POST, on_pipe_event, &m_pipes);
             status = nng_listen(m_server_socket, nng_url(address).c_str(), nullptr, 0);
         }
         for (std::size_t i = 0; status == 0 && i < max_concurrent_requests_served; ++i) {
@@ -260,6 +334,7 @@
             return;
         }
         nng_msg* message = nng_aio_get_msg(slot->m_aio);
+        slot->m_owner->m_pipes.set_delivered(nng_msg_get_pipe(message));
         asio::post(slot->m_owner->m_context, [weak_owner = slot->m_owner->m_weak_self, slot,
                                               message] { serve(weak_owner, slot, message); });
     }
@@ -328,6 +403,7 @@
     byte_counter m_count_bytes;
     std::string m_source_address;
     nng_socket m_server_socket = NNG_SOCKET_INITIALIZER;
+    pipe_table m_pipes;
     std::vector<std::unique_ptr<serving_slot>> m_slots;
     std::weak_ptr<impl> m_weak_self;
     std::size_t m_pending = 0;
--- a/tests/integration/held_bytes_test.py
+++ b/tests/integration/held_bytes_test.py
@@ -269,10 +269,12 @@
     """Guards against memory that grows with data at the peer port that isn't from a node: no
     handshake, messages of a large declared length, messages that stop before their end."""
     handshake = b"\0SP\0\0\x30\0\0"  # protocol REQ0
-    size = 7 << 20
+
+    def stalled_message(size):
+        return handshake + size.to_bytes(8, "big") + bytes(size - 1)
     with LoadedNode() as node:
         for data in (b"", b"GET / HTTP/1.1\r\n\r\n", handshake + b"\x7f" + b"\xff" * 7,
-                     handshake + size.to_bytes(8, "big") + bytes(size - 1)):
+                     stalled_message(7 << 20), stalled_message((3 << 20) - 100)):
             node.send_from_clients(node.instance.peer, PEER_CONNECTIONS, lambda: (data,))
             node.check()
         return node.check()
