Account of the bytes held for clients, with limits of size and progress

Cause: a node keeps whatever clients send until a time limit of 10 s. 40 clients whose bodies of 12 MB stop before their end take 439 MB (declared length) and 457 MB (chunked), 40 clients that don't read their answers even more; an instance has 160 MB. Connections without a request keep callers out. The limits of the operators' configuration were not read, so that a body of 64 MiB was refused.

Change: - traffic/byte_budget counts the bytes held for each connection and for the node; decide/traffic/held_bytes chooses which connections to reject when the limit is exceeded. A request that is still arriving gets 503 (memory-limit, not run); a connection whose answer is not read is closed. - traffic/body_pieces holds bodies in pieces. Pieces after the first 256 KiB are mapped separately and returned when freed (mallopt in carawayd). - traffic/request_reading reads requests with limits on the time of a head and on pauses and the mean rate of a body, instead of 10 s for all. - At most 1 MiB is read ahead on a connection. - A connection above the limit replaces the oldest one on which no request head has arrived. The limit also follows the descriptors of the process. - `limits` of op/config are read and replace the settings. The new settings instance.memory and traffic.max_held_bytes bound the account; the template fills in limits.memory_mb. - Metrics caraway_held_bytes and caraway_rejected_connections_total, log line connection_rejected.

A small request costs two atomic additions more, and no further allocation, lock or system call.

Changed tests: traffic/limits_are_enforced_before_the_server held the limit with connections that had sent nothing, which now give way; they carry a refused call first, and the expected refusals are the same. The new test connections_without_a_request_give_way covers the others. The stand-in of the platform in review/standins fills in limits.memory_mb.

--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -29,6 +29,7 @@
 HOST = "ficu95.example"
 
 # The bounds of the small deployment that the cases take (shedbase-eg).
+MEMORY_MB = 160  # of an instance
 BOUNDS = {"contact_ms": 3000, "drain_ms": 2000, "grace_s": 6, "addr_reuse_s": 2,
           "config_apply_ms": 2000, "evacuate_ms": 5000}
 HEARTBEAT_MS = 1500
@@ -372,7 +373,7 @@
                        "outbound": f"{self.ip}:{self.outbound}",
                        "readiness_addr": f"{self.ip}:{self.readiness}",
                        "control": f"{self.ip}:{self.control_port}"},
-            "bounds": BOUNDS, "platform": {"address": self.deployment.store.address}}
+            "bounds": BOUNDS, "limits": {"memory_mb": MEMORY_MB}, "platform": {"address": self.deployment.store.address}}
 
     def start(self):
         """Writes the settings from the template of the deploy file and starts the node."""
--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -38,6 +38,7 @@
     error_info{kinds::too_many_connections, "too-many-connections", outcomes::not_run, 503, true,
                1},
     error_info{kinds::body_too_large, "body-too-large", outcomes::not_run, 413, false, 1},
+    error_info{kinds::memory_limit, "memory-limit", outcomes::not_run, 503, true, 1},
     error_info{kinds::hop_limit, "hop-limit", outcomes::not_run, 508, false, 1},
     error_info{kinds::connect_failed, "connect-failed", outcomes::not_run, 503, true, 1},
     error_info{kinds::backend_shed, "backend-shed", outcomes::not_run, 503, true, 1},
--- a/src/base/error.hpp
+++ b/src/base/error.hpp
@@ -43,6 +43,7 @@
     cold_start_limit,
     too_many_connections,
     body_too_large,
+    memory_limit,
     hop_limit,
     connect_failed,
     backend_shed,
--- a/src/carawayd/main.cpp
+++ b/src/carawayd/main.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <fstream>
 #include <iterator>
+#include <malloc.h>
 #include <memory>
 
 #include <fmt/format.h>
@@ -101,6 +102,14 @@
         });
 }
 
+// Size in bytes from which malloc maps memory separately, and returns it to the system when it is
+// freed. Unless it is set, malloc raises it up to 32 MiB after large answers, whose memory then
+// stays in the heap and comes on top of that of held bodies.
+constexpr int mapped_allocation_bytes = 256 << 10;
+// Free bytes at the end of the heap above which malloc returns them to the system. Larger than what
+// a burst of small requests frees, so that these cause no system calls.
+constexpr int kept_free_bytes = 4 << 20;
+
 // Runs a node until SIGTERM or SIGINT has shut it down; returns the exit code.
 int run(const node_settings& settings, const arguments& parsed_arguments) {
     const system_clock_source clock;
@@ -130,6 +139,8 @@
 
 int main(int argc, char** argv) {
     std::signal(SIGPIPE, SIG_IGN);
+    mallopt(M_MMAP_THRESHOLD, mapped_allocation_bytes);
+    mallopt(M_TRIM_THRESHOLD, kept_free_bytes);
     const auto parsed_arguments = parse_arguments(argc, argv);
     if (!parsed_arguments) {
         return error_info_for(error_kind::usage).m_exit_code;
--- a/src/config/mesh.hpp
+++ b/src/config/mesh.hpp
@@ -91,6 +91,15 @@
     friend bool operator==(const data_centre_spec&, const data_centre_spec&) = default;
 };
 
+// Limits of callers, as stated by the operators. Callers inside them are served. 0: not stated.
+struct client_limits {
+    std::uint32_t m_max_header_bytes = 0;
+    std::uint64_t m_max_body_bytes = 0;
+    milliseconds m_header_timeout{0}; // from the first byte of a request to the end of its head
+    milliseconds m_idle_timeout{0};   // between two requests of a connection
+    friend bool operator==(const client_limits&, const client_limits&) = default;
+};
+
 // The complete configuration of one text. Routes are sorted by descending path length, then by path
 // and host, so that the first match is the longest and match_route can use a binary search.
 struct mesh {
@@ -102,6 +111,7 @@
     bool m_lists_data_centres = true;
     // Descriptions of values that this program doesn't know, each with what applies instead.
     std::vector<std::string> m_unknown_values{};
+    client_limits m_limits{};
     friend bool operator==(const mesh&, const mesh&) = default;
 };
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -23,6 +23,12 @@
 constexpr std::size_t max_settings_bytes = 64U << 10U;
 constexpr std::size_t max_store_addresses = 16;
 constexpr std::size_t max_seeds = 64;
+// Bounds of the memory of an instance in MB of 1,000,000 bytes.
+constexpr std::uint64_t min_memory_mb = 32;
+constexpr std::uint64_t max_memory_mb = 1'000'000;
+constexpr std::uint64_t bytes_per_mb = 1'000'000;
+// Upper bound of the bytes held for clients.
+constexpr std::uint64_t max_held_bytes = std::uint64_t{1} << 40U;
 
 constexpr std::string_view expected_endpoint =
     "an IP address with a port from 1 to 65535, as \"127.0.0.1:7001\" or \"[::1]:7001\"";
@@ -30,8 +36,8 @@
 constexpr std::array<std::string_view, 10> root_keys{
     "instance", "listen",  "backend_server", "store", "peers",
     "traffic",  "results", "shutdown",       "log",   "random"};
-constexpr std::array<std::string_view, 4> instance_keys{"name", "data_centre", "service",
-                                                        "version"};
+constexpr std::array<std::string_view, 5> instance_keys{"name", "data_centre", "service", "version",
+                                                        "memory"};
 constexpr std::array<std::string_view, 10> listen_keys{
     "traffic", "peer_udp",         "peer_bulk",    "admin",         "callers",
     "reports", "announce_traffic", "announce_udp", "announce_bulk", "source"};
@@ -41,9 +47,9 @@
 constexpr std::array<std::string_view, 6> peers_keys{
     "seeds",         "probe_interval",   "probe_timeout",
     "fetch_timeout", "join_backoff_max", "joins_per_second"};
-constexpr std::array<std::string_view, 8> traffic_keys{
-    "threads",          "max_connections", "max_body_bytes",       "max_answer_bytes",
-    "max_header_bytes", "behind_wait",     "retry_budget_percent", "retry_burst"};
+constexpr std::array<std::string_view, 9> traffic_keys{
+    "threads",     "max_connections",      "max_body_bytes", "max_answer_bytes", "max_header_bytes",
+    "behind_wait", "retry_budget_percent", "retry_burst",    "max_held_bytes"};
 constexpr std::array<std::string_view, 3> results_keys{"retention", "entries", "bytes"};
 constexpr std::array<std::string_view, 2> shutdown_keys{"drain_timeout", "announce_time"};
 constexpr std::array<std::string_view, 3> log_keys{"trace_spans", "record_lines", "flush_interval"};
@@ -190,6 +196,8 @@
                         settings.m_max_answer_bytes);
     reader.read_integer("max_header_bytes", optional_entry, 1U << 10U, 1U << 20U,
                         settings.m_max_header_bytes);
+    reader.read_integer("max_held_bytes", optional_entry, std::uint64_t{0}, max_held_bytes,
+                        settings.m_max_held_bytes);
     reader.read_duration("behind_wait", optional_entry, milliseconds(0), milliseconds(10'000),
                          settings.m_behind_wait);
     reader.read_integer("retry_budget_percent", optional_entry, 0U, 100U,
@@ -219,6 +227,10 @@
     instance.read_name("data_centre", required_entry, settings.m_data_centre);
     instance.read_name("service", required_entry, settings.m_service);
 
+    std::uint64_t memory_mb = settings.m_memory_bytes / bytes_per_mb;
+    instance.read_integer("memory", optional_entry, min_memory_mb, max_memory_mb, memory_mb);
+    settings.m_memory_bytes = memory_mb * bytes_per_mb;
+
     read_listen(sections.open("listen", listen_keys), settings);
     instance.read_name("version", settings.m_reports.m_port != 0 ? optional_entry : required_entry,
                        settings.m_version);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -36,6 +36,8 @@
     std::string m_data_centre; // required
     std::string m_service;     // required; service of the backend server beside this node
     std::string m_version;     // version of the backend server; required unless m_reports is set
+    // Memory of the instance, from which the limit of held bytes is derived.
+    std::uint64_t m_memory_bytes = 160'000'000;
     // [listen]
     ip_endpoint m_traffic;   // required; calls of callers and of other nodes
     ip_endpoint m_peer_udp;  // required; membership probes and gossip
@@ -77,6 +79,8 @@
     // slot even if a server sends an endless answer.
     std::uint32_t m_max_answer_bytes = 1U << 20U;
     std::uint32_t m_max_header_bytes = 16U << 10U;
+    // Maximum number of bytes held for clients, over all connections; 0: half of m_memory_bytes.
+    std::uint64_t m_max_held_bytes = 0;
     // Maximum time for which a call that was routed by a newer configuration waits until this node
     // has that configuration.
     milliseconds m_behind_wait{250};
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -52,7 +52,12 @@
                                "Values of the configuration in force that are not known here")),
           m_members(add_gauge_family("caraway_members", "Members known, by state")),
           m_load(add_gauge_family("caraway_admission_calls",
-                                  "Calls at the own backend server, by state")) {}
+                                  "Calls at the own backend server, by state")),
+          m_held_bytes(
+              add_gauge_family("caraway_held_bytes", "Bytes held for clients, and their limit")),
+          m_rejected_connections(
+              add_counter_family("caraway_rejected_connections_total",
+                                 "Connections rejected outside the limits, by cause")) {}
 
     prometheus::Family<prometheus::Counter>& add_counter_family(const char* name,
                                                                 const char* help) {
@@ -116,6 +121,8 @@
     prometheus::Family<prometheus::Gauge>& m_unknown_config_values;
     prometheus::Family<prometheus::Gauge>& m_members;
     prometheus::Family<prometheus::Gauge>& m_load;
+    prometheus::Family<prometheus::Gauge>& m_held_bytes;
+    prometheus::Family<prometheus::Counter>& m_rejected_connections;
 
 private:
     std::shared_mutex m_cache_mutex;
@@ -178,6 +185,16 @@
     m_impl->m_load.Add({{"state", "limit"}}).Set(limit);
 }
 
+void node_metrics::set_held_bytes(std::uint64_t held, std::uint64_t limit) {
+    m_impl->m_held_bytes.Add({{"state", "held"}}).Set(static_cast<double>(held));
+    m_impl->m_held_bytes.Add({{"state", "limit"}}).Set(static_cast<double>(limit));
+}
+
+void node_metrics::set_rejected_connections(std::string_view cause, std::uint64_t count) {
+    auto& counter = m_impl->m_rejected_connections.Add({{"cause", std::string(cause)}});
+    counter.Increment(static_cast<double>(count) - counter.Value());
+}
+
 byte_account& node_metrics::moved_bytes() {
     return m_impl->m_bytes;
 }
--- a/src/observe/metrics.hpp
+++ b/src/observe/metrics.hpp
@@ -39,6 +39,10 @@
     void set_members(std::string_view state, std::uint64_t count);
     // Sets the running and waiting calls of the own backend server and its concurrency limit.
     void set_load(std::uint32_t running, std::uint32_t waiting, std::uint32_t limit);
+    // Sets the bytes held for clients and their limit.
+    void set_held_bytes(std::uint64_t held, std::uint64_t limit);
+    // Sets the number of connections rejected so far for a cause.
+    void set_rejected_connections(std::string_view cause, std::uint64_t count);
     // Returns the counters of bytes exchanged with other nodes, to which the calling code adds.
     // Owned by this object.
     byte_account& moved_bytes();
--- a/src/traffic/call_control.cpp
+++ b/src/traffic/call_control.cpp
@@ -36,9 +36,9 @@
 
 call_control::call_control(io_strand strand, tcp::socket incoming, const clock_source& clock,
                            std::uint64_t seed)
-    : m_clock(clock), m_strand(std::move(strand)), m_incoming(std::move(incoming)),
-      m_timer(m_strand.get_inner_executor()), m_wake_timer(m_strand.get_inner_executor()),
-      m_random(seed) {}
+    : m_clock(clock), m_created_at(clock.now()), m_strand(std::move(strand)),
+      m_incoming(std::move(incoming)), m_timer(m_strand.get_inner_executor()),
+      m_wake_timer(m_strand.get_inner_executor()), m_random(seed) {}
 
 void call_control::set_time_limit(time_point at) {
     m_time_limit = at;
@@ -249,6 +249,24 @@
     }
 }
 
+std::shared_ptr<call_control> control_set::take_oldest_unused() {
+    const std::lock_guard lock(m_mutex);
+    auto oldest = m_controls.end();
+    for (auto control = m_controls.begin(); control != m_controls.end(); ++control) {
+        const bool unused = !(*control)->is_used();
+        if (unused &&
+            (oldest == m_controls.end() || (*control)->created_at() < (*oldest)->created_at())) {
+            oldest = control;
+        }
+    }
+    if (oldest == m_controls.end()) {
+        return nullptr;
+    }
+    std::shared_ptr<call_control> taken = *oldest;
+    m_controls.erase(oldest);
+    return taken;
+}
+
 control_registration::control_registration(control_set& set, std::shared_ptr<call_control> control)
     : m_set(set), m_control(std::move(control)) {
     m_set.add(m_control);
--- a/src/traffic/call_control.hpp
+++ b/src/traffic/call_control.hpp
@@ -2,6 +2,7 @@
 // one call at a time.
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -82,6 +83,11 @@
     // Cancels the call and closes the connection. Safe from any thread.
     void stop();
 
+    // Records that a complete request head has arrived on the connection.
+    void set_used() { m_used.store(true, std::memory_order_relaxed); }
+    bool is_used() const { return m_used.load(std::memory_order_relaxed); }
+    time_point created_at() const { return m_created_at; }
+
     // Registers an outgoing socket for the lifetime of the guard. The socket is closed if the call
     // ends before that.
     class outgoing_guard {
@@ -107,6 +113,8 @@
     void abort_operations();
 
     const clock_source& m_clock;
+    const time_point m_created_at;
+    std::atomic<bool> m_used{false};
     io_strand m_strand;
     tcp::socket m_incoming;
     boost::asio::steady_timer m_timer;
@@ -138,6 +146,9 @@
     void remove(const std::shared_ptr<call_control>& control);
     std::size_t size() const;
     void stop_all();
+    // Removes and returns the oldest control on whose connection no request head has arrived, or
+    // null if there is none.
+    std::shared_ptr<call_control> take_oldest_unused();
 
 private:
     mutable std::mutex m_mutex;
--- a/src/traffic/claims_over_http.cpp
+++ b/src/traffic/claims_over_http.cpp
@@ -307,7 +307,7 @@
                                   const http_request& request, asio::yield_context yield) {
     const std::string_view path = path_of({request.target().data(), request.target().size()});
     const auto decoded = request.body().size() <= max_node_request_bytes
-                             ? decode_request(request.body())
+                             ? decode_request(std::string(request.body().piece(0)))
                              : std::nullopt;
     if (request.method() != http::verb::post || !decoded) {
         return make_error_response(error_kind::bad_request, "not a request of a node");
--- a/src/traffic/connection_pool.cpp
+++ b/src/traffic/connection_pool.cpp
@@ -229,7 +229,7 @@
     int interim_answers = 0;
     const call_control::outgoing_guard guard(control, peer_connection.m_socket);
     error_code write_failed;
-    http::serializer<true, http::string_body> serializer(request);
+    http::serializer<true, http_request::body_type> serializer(request);
     http::async_write(peer_connection.m_socket, serializer, yield[write_failed]);
     if (control.is_ended()) {
         return fail(reason, control.end_reason(true), "the call ended while it was sent");
--- a/src/traffic/http_message.hpp
+++ b/src/traffic/http_message.hpp
@@ -12,11 +12,12 @@
 
 #include "base/clock.hpp"
 #include "base/error.hpp"
+#include "traffic/body_pieces.hpp"
 
 namespace caraway {
 
 namespace http = boost::beast::http;
-using http_request = http::request<http::string_body>;
+using http_request = http::request<pieces_body>;
 using http_response = http::response<http::string_body>;
 
 // Names of the headers that the nodes use. All begin with internal_prefix except the last three.
--- a/src/traffic/served_connection.cpp
+++ b/src/traffic/served_connection.cpp
@@ -7,6 +7,7 @@
 #include "traffic/backend_side.hpp"
 #include "traffic/claims_over_http.hpp"
 #include "traffic/entry_side.hpp"
+#include "traffic/request_reading.hpp"
 
 namespace caraway {
 namespace {
@@ -14,35 +15,31 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-// Time after which an idle connection is closed. Nodes close their own idle connections earlier,
-// after 30 s; see max_idle_time_peers.
+// Shortest idle time of a connection that carried a call of another node. Nodes close their own
+// idle connections earlier, after 30 s; see max_idle_time_peers.
 constexpr milliseconds idle_timeout{75'000};
-// Time within which a request must arrive completely once its first byte was received. Slower
-// callers would occupy connections that others need.
-constexpr milliseconds read_timeout{10'000};
 // Time within which the caller must receive its answer.
 constexpr milliseconds write_timeout{10'000};
 // Time for which the rest of a refused request is read and discarded. Closing at once would reset
 // the connection, and the refusal could be lost.
 constexpr milliseconds linger_time{500};
-// Allowance above the header limit for the headers that the entry side adds, so that the next node
-// does not refuse a request that the first one accepted.
-constexpr std::uint32_t added_header_bytes = 2U << 10U;
-// Buffer capacity in bytes beyond the header limit.
-constexpr std::size_t read_ahead_bytes = 64U << 10U;
-constexpr std::size_t first_read_bytes = 8U << 10U;
 // Limit of requests that are read from one connection and not answered yet. Further requests stay
 // in the socket buffer, which slows the sender down.
 constexpr std::size_t max_pipelined_requests = 16;
+// Bytes held for one connection above which no further request is read ahead.
+constexpr std::uint64_t max_read_ahead_bytes = 1U << 20U;
 
 // A request that has been read and not answered yet.
 struct received_request {
-    received_request(http_request request, std::atomic<std::size_t>& in_progress)
-        : m_request(std::move(request)) {
+    received_request(http_request request, byte_charge charge,
+                     std::atomic<std::size_t>& in_progress)
+        : m_request(std::move(request)), m_charge(std::move(charge)) {
         m_progress_guard.emplace(in_progress);
     }
 
     http_request m_request;
+    // Bytes of the request, and of its answer from when there is one.
+    byte_charge m_charge;
     // Counts the request as in progress until it is answered.
     std::optional<progress_guard> m_progress_guard;
     // Control of the call if it was started before its turn; otherwise null.
@@ -56,12 +53,13 @@
     served_connection(traffic_context& context, const std::shared_ptr<call_control>& control,
                       bool callers_only)
         : m_context(context), m_control(control), m_callers_only(callers_only),
-          m_buffer(context.m_settings.m_max_header_bytes + read_ahead_bytes) {}
+          m_input(context, control) {}
 
     traffic_context& m_context;
     const std::shared_ptr<call_control> m_control; // of the connection and its current call
     const bool m_callers_only;
-    boost::beast::flat_buffer m_buffer;
+    request_input m_input;
+    bool m_served_node = false; // a request came from another node
 
     // Requests that were read ahead, in the order of arrival. Used once a request arrives before an
     // earlier one is answered; from then on the reader coroutine reads all requests of the
@@ -70,7 +68,7 @@
     // Reader coroutine; null while each request is read after the previous one is answered.
     std::shared_ptr<call_control> m_reader;
     bool m_reader_ended = false;
-    bool m_request_started = false; // the reader has received part of a request
+    bool m_reader_waits = false; // until fewer requests or bytes are held for the connection
     // Answer to the invalid request on which the reader ended.
     std::optional<http_response> m_refusal;
     bool m_current_call_blocks = false; // the current call must end before others start
@@ -122,22 +120,6 @@
     answer.erase(http::field::transfer_encoding);
 }
 
-// Returns the refusal for a request that could not be read, or nothing if the connection ended and
-// there is no one to answer.
-std::optional<http_response> refusal_for_read_error(const error_code& failed) {
-    if (failed == http::error::body_limit) {
-        return make_error_response(error_kind::body_too_large, "the body is above the limit");
-    }
-    if (failed == http::error::header_limit || failed == http::error::buffer_overflow) {
-        return make_error_response(error_kind::bad_request, "the headers are above the limit");
-    }
-    if (failed == http::error::end_of_stream || failed == http::error::partial_message ||
-        failed.category() != http::make_error_code(http::error::end_of_stream).category()) {
-        return std::nullopt;
-    }
-    return make_error_response(error_kind::bad_request, "not a valid HTTP request");
-}
-
 bool write_answer(traffic_context& context, call_control& control, http_response& answer,
                   asio::yield_context yield) {
     control.set_time_limit(context.m_clock.now() + write_timeout);
@@ -176,60 +158,6 @@
     }
 }
 
-using request_parser = http::request_parser<http::string_body>;
-
-// Waits for the first bytes of a request unless some are buffered already.
-error_code await_request_bytes(served_connection& connection, asio::yield_context yield) {
-    error_code failed;
-    if (connection.m_buffer.size() == 0) {
-        const std::size_t size = connection.m_control->incoming().async_read_some(
-            connection.m_buffer.prepare(first_read_bytes), yield[failed]);
-        if (!failed) {
-            connection.m_buffer.commit(size);
-        }
-    }
-    return failed;
-}
-
-// Reads the rest of a request into the parser. Confirms "Expect: 100-continue" if no other request
-// is pending.
-error_code read_request(served_connection& connection, request_parser& parser,
-                        asio::yield_context yield) {
-    const node_settings& settings = connection.m_context.m_settings;
-    tcp::socket& socket = connection.m_control->incoming();
-    error_code failed;
-    parser.header_limit(settings.m_max_header_bytes + added_header_bytes);
-    parser.body_limit(settings.m_max_body_bytes);
-    http::async_read_header(socket, connection.m_buffer, parser, yield[failed]);
-    if (failed || parser.is_done()) {
-        return failed;
-    }
-    const bool is_current = connection.m_pending_requests.empty();
-    if (is_current && boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-        http::response<http::empty_body> continue_response;
-        continue_response.version(11);
-        continue_response.result(http::status::continue_);
-        http::async_write(socket, continue_response, yield[failed]);
-        if (failed) {
-            return failed;
-        }
-    }
-    http::async_read(socket, connection.m_buffer, parser, yield[failed]);
-    return failed;
-}
-
-// Returns the refusal for a request that could not be read, with its exchange number if the headers
-// contain one; nothing if there is no one to answer.
-std::optional<http_response> make_read_refusal(const error_code& failed,
-                                               const request_parser& parser) {
-    auto refusal = refusal_for_read_error(failed);
-    const std::string number(header_value(parser.get(), header::exchange));
-    if (refusal && !number.empty()) {
-        set_header(*refusal, header::exchange, number);
-    }
-    return refusal;
-}
-
 bool is_from_node(const http_request& request) {
     const std::string_view target(request.target().data(), request.target().size());
     return target.starts_with(node_path_prefix) ||
@@ -260,6 +188,13 @@
     return from_caller && is_idempotent_call(connection.m_context, request);
 }
 
+// Replaces the bytes charged for the request by those of its answer. The request isn't needed any
+// more. Returns false if the connection is rejected for the bytes that it holds.
+bool charge_answer(received_request& request, const call_reply& reply) {
+    request.m_request.body().clear();
+    return request.m_charge.resize(message_bytes(reply.m_message));
+}
+
 // Starts a call while the current one is running. Its answer is sent when its turn comes.
 void start_early_call(const connection_ptr& connection,
                       const std::shared_ptr<received_request>& early) {
@@ -268,6 +203,7 @@
         *early->m_early_call, [connection, early](const auto& self, asio::yield_context yield) {
             const completion_notifier notifier(early->m_early_call_ended, *connection->m_control);
             early->m_early_reply = dispatch(*connection, *self, early->m_request, yield);
+            charge_answer(*early, early->m_early_reply);
             self->end_call();
         });
 }
@@ -301,24 +237,26 @@
 // Reader coroutine: reads requests until the connection ends or a request is invalid.
 void read_requests(const connection_ptr& connection, asio::yield_context yield) {
     const auto has_capacity = [&connection] {
-        return connection->m_pending_requests.size() < max_pipelined_requests ||
+        return (connection->m_pending_requests.size() < max_pipelined_requests &&
+                connection->m_input.m_share->bytes() < max_read_ahead_bytes) ||
                connection->m_closing;
     };
     while (!connection->m_control->is_stopped()) {
         if (!has_capacity()) {
+            connection->m_reader_waits = true;
             connection->m_reader->wait(time_point::max(), yield);
+            connection->m_reader_waits = false;
             continue;
         }
         request_parser parser;
-        error_code failed = await_request_bytes(*connection, yield);
+        byte_charge charge(connection->m_input.m_share);
+        error_code failed = await_request_bytes(connection->m_input, yield);
         if (!failed) {
-            connection->m_request_started = true;
-            connection->m_control->wake();
-            failed = read_request(*connection, parser, yield);
-            connection->m_request_started = false;
+            failed = read_request(connection->m_input, parser, charge,
+                                  connection->m_pending_requests.empty(), yield);
         }
         if (failed) {
-            connection->m_refusal = make_read_refusal(failed, parser);
+            connection->m_refusal = make_read_refusal(connection->m_input, failed, parser);
             if (!connection->m_refusal) {
                 cancel_calls(*connection);
             }
@@ -328,7 +266,7 @@
             continue;
         }
         connection->m_pending_requests.push_back(std::make_shared<received_request>(
-            parser.release(), connection->m_context.m_in_progress));
+            parser.release(), std::move(charge), connection->m_context.m_in_progress));
         start_early_calls(connection);
         connection->m_control->wake();
     }
@@ -357,29 +295,50 @@
     }
 }
 
-// Reads the next request while there is no reader. Returns null when the connection ends.
-std::shared_ptr<received_request> read_next_request(const connection_ptr& connection,
-                                                    asio::yield_context yield) {
-    call_control& control = *connection->m_control;
-    const clock_source& clock = connection->m_context.m_clock;
+// Returns the time for which a connection may be idle. Other nodes close their idle connections
+// themselves; the operators' limit is for callers.
+duration idle_time(const served_connection& connection) {
+    const duration limit = connection.m_context.m_request_limits.idle_time();
+    return connection.m_served_node ? std::max<duration>(limit, idle_timeout) : limit;
+}
+
+// Reads a request while there is no reader. Returns null, with a refusal if there is one to send,
+// if no request could be read.
+std::shared_ptr<received_request> read_one_request(served_connection& connection,
+                                                   std::optional<http_response>& refusal,
+                                                   asio::yield_context yield) {
+    request_input& input = connection.m_input;
     request_parser parser;
-    control.set_time_limit(clock.now() + idle_timeout);
-    error_code failed = await_request_bytes(*connection, yield);
+    byte_charge charge(input.m_share);
+    connection.m_control->set_time_limit(connection.m_context.m_clock.now() +
+                                         idle_time(connection));
+    error_code failed = await_request_bytes(input, yield);
     if (failed) {
         return nullptr;
     }
-    control.set_time_limit(clock.now() + read_timeout);
-    failed = read_request(*connection, parser, yield);
+    input.m_limits_time = true;
+    failed = read_request(input, parser, charge, true, yield);
+    input.m_limits_time = false;
     if (failed) {
-        auto refusal = make_read_refusal(failed, parser);
-        if (refusal && !control.is_stopped()) {
+        refusal = make_read_refusal(input, failed, parser);
+        return nullptr;
+    }
+    return std::make_shared<received_request>(parser.release(), std::move(charge),
+                                              connection.m_context.m_in_progress);
+}
+
+// Reads the next request while there is no reader. Returns null when the connection ends.
+std::shared_ptr<received_request> read_next_request(const connection_ptr& connection,
+                                                    asio::yield_context yield) {
+    std::optional<http_response> refusal;
+    auto received = read_one_request(*connection, refusal, yield);
+    if (!received) {
+        if (refusal && !connection->m_control->is_stopped()) {
             refuse_and_close(*connection, *refusal, yield);
         }
         return nullptr;
     }
-    auto received =
-        std::make_shared<received_request>(parser.release(), connection->m_context.m_in_progress);
-    if (connection->m_buffer.size() != 0) {
+    if (connection->m_input.m_buffer.size() != 0) {
         start_reader(connection);
     }
     return received;
@@ -389,16 +348,15 @@
 std::shared_ptr<received_request> take_next_request(const connection_ptr& connection,
                                                     asio::yield_context yield) {
     call_control& control = *connection->m_control;
-    const time_point idle_since = connection->m_context.m_clock.now();
-    std::optional<time_point> started_at;
+    const time_point idle_until = connection->m_context.m_clock.now() + idle_time(*connection);
+    connection->m_input.m_limits_time = true;
     while (connection->m_pending_requests.empty() && !connection->m_reader_ended &&
            !control.is_stopped()) {
-        if (connection->m_request_started && !started_at) {
-            started_at = connection->m_context.m_clock.now();
-        }
-        control.set_time_limit(started_at ? *started_at + read_timeout : idle_since + idle_timeout);
+        const bool reading = connection->m_input.m_deadline != time_point::max();
+        control.set_time_limit(reading ? connection->m_input.m_deadline : idle_until);
         control.wait(time_point::max(), yield);
     }
+    connection->m_input.m_limits_time = false;
     const bool caller_left = connection->m_reader_ended && !connection->m_refusal;
     if (control.is_stopped() || caller_left) {
         return nullptr;
@@ -439,6 +397,21 @@
     return std::move(request.m_early_reply);
 }
 
+// Returns true if the request is a call of another node.
+bool is_node_call(const served_connection& connection, const received_request& request) {
+    return !connection.m_callers_only && is_from_node(request.m_request);
+}
+
+// Charges and sends the answer. Returns false if it could not be sent. The connection may be
+// rejected until the client has received the answer.
+bool deliver_answer(served_connection& connection, received_request& request, call_reply& reply,
+                    asio::yield_context yield) {
+    const rejectable_scope rejectable(*connection.m_input.m_share,
+                                      connection.m_context.m_clock.now());
+    return charge_answer(request, reply) &&
+           write_answer(connection.m_context, *connection.m_control, reply.m_message, yield);
+}
+
 // Serves one request. Returns true if the connection can carry another one.
 bool serve_next_request(const connection_ptr& connection, asio::yield_context yield) {
     const auto request = connection->m_reader ? take_next_request(connection, yield)
@@ -446,6 +419,7 @@
     if (!request) {
         return false;
     }
+    connection->m_served_node = connection->m_served_node || is_node_call(*connection, *request);
     const http::verb method = request->m_request.method();
     const bool keep_alive_requested = request->m_request.keep_alive();
     const std::string exchange_number(header_value(request->m_request, header::exchange));
@@ -461,10 +435,15 @@
         set_header(reply->m_message, header::exchange, exchange_number);
     }
     frame_answer(reply->m_message, method, keep_alive);
-    if (!write_answer(connection->m_context, *connection->m_control, reply->m_message, yield)) {
+    const bool written = deliver_answer(*connection, *request, *reply, yield);
+    request->m_charge.resize(0);
+    if (!written) {
         return false;
     }
     request->m_progress_guard.reset();
+    if (connection->m_reader_waits) {
+        connection->m_reader->wake();
+    }
     if (!keep_alive) {
         cancel_calls(*connection);
         linger(*connection, yield);
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <condition_variable>
 #include <random>
+#include <sys/resource.h>
 #include <thread>
 
 #include <boost/asio/detached.hpp>
@@ -27,6 +28,21 @@
 constexpr milliseconds health_probe_timeout{1'000};
 // Time for connections to end on destruction before their coroutines are destroyed.
 constexpr milliseconds stop_timeout{2'000};
+// Descriptors kept for listening sockets, the store, other nodes and idle connections to servers.
+constexpr std::size_t reserved_descriptors = 256;
+constexpr std::size_t min_connections = 16;
+
+// Returns the limit of connections: the setting, or less if the process may open too few
+// descriptors. A connection needs a second one while its call is running.
+std::size_t connection_limit(const node_settings& settings) {
+    rlimit descriptors{};
+    if (::getrlimit(RLIMIT_NOFILE, &descriptors) != 0) {
+        return settings.m_max_connections;
+    }
+    const std::size_t available = std::max<std::size_t>(descriptors.rlim_cur, reserved_descriptors);
+    return std::min<std::size_t>(settings.m_max_connections,
+                                 std::max(min_connections, (available - reserved_descriptors) / 2));
+}
 
 } // namespace
 
@@ -37,7 +53,8 @@
         : m_io(static_cast<int>(std::max(1U, settings.m_threads))),
           m_context(settings, clock, snapshot, metrics, std::move(hooks), m_io),
           m_accept_strand(asio::make_strand(m_io)), m_maintenance_strand(asio::make_strand(m_io)),
-          m_acceptor(m_io), m_caller_acceptor(m_io), m_maintenance_timer(m_io),
+          m_max_connections(connection_limit(settings)), m_acceptor(m_io), m_caller_acceptor(m_io),
+          m_maintenance_timer(m_io),
           m_seed(settings.m_seed != 0 ? settings.m_seed : std::random_device{}()) {}
     impl(const impl&) = delete;
     impl& operator=(const impl&) = delete;
@@ -58,16 +75,19 @@
 private:
     void stop();
     void accept_connections(tcp::acceptor& acceptor, bool callers_only, asio::yield_context yield);
+    bool close_unused_connection();
     std::uint64_t next_seed();
     void refuse_connection(tcp::socket socket);
     void schedule_maintenance();
     bool health_probe_is_due() const;
     void probe_health();
+    void export_held_bytes();
 
     asio::io_context m_io;
     traffic_context m_context;
     io_strand m_accept_strand;
     io_strand m_maintenance_strand;
+    const std::size_t m_max_connections;
     tcp::acceptor m_acceptor;        // for nodes, and for callers unless they have their own
     tcp::acceptor m_caller_acceptor; // for callers only
     asio::steady_timer m_maintenance_timer;
@@ -149,7 +169,7 @@
             continue;
         }
         socket.set_option(tcp::no_delay(true), failed);
-        if (m_context.m_connections.size() >= m_context.m_settings.m_max_connections) {
+        if (m_context.m_connections.size() >= m_max_connections && !close_unused_connection()) {
             refuse_connection(std::move(socket));
             continue;
         }
@@ -164,6 +184,19 @@
     }
 }
 
+// Closes the oldest connection on which no request head has arrived, so that connections without a
+// request don't keep others out. Returns false if there is none.
+bool traffic_server::impl::close_unused_connection() {
+    const auto unused = m_context.m_connections.take_oldest_unused();
+    if (!unused) {
+        return false;
+    }
+    m_context.m_budget.record_rejection(rejection_cause::surplus, 0, {},
+                                        m_context.m_clock.now() - unused->created_at());
+    unused->stop();
+    return true;
+}
+
 std::uint64_t traffic_server::impl::next_seed() {
     return m_seed + (m_connection_number.fetch_add(1) + 1) * 0x9e3779b97f4a7c15ULL;
 }
@@ -195,6 +228,7 @@
             m_context.m_keys.expire();
             const auto load = m_context.m_gate.current_load();
             m_context.m_metrics.set_load(load.m_running, load.m_waiting, load.m_limit);
+            export_held_bytes();
             if (health_probe_is_due()) {
                 probe_health();
             }
@@ -202,6 +236,17 @@
         }));
 }
 
+// Updates the metrics of held bytes and of the connections rejected so far.
+void traffic_server::impl::export_held_bytes() {
+    const byte_budget& budget = m_context.m_budget;
+    m_context.m_metrics.set_held_bytes(budget.held_bytes(), budget.limits().m_total);
+    for (std::size_t i = 1; i < rejection_cause_count; ++i) { // 0 is none
+        const auto cause = static_cast<rejection_cause>(i);
+        m_context.m_metrics.set_rejected_connections(rejection_cause_name(cause),
+                                                     budget.rejections(cause));
+    }
+}
+
 // Returns true if probes are enabled, no call is in progress, and within the last interval no call
 // has ended and no probe was sent.
 bool traffic_server::impl::health_probe_is_due() const {
@@ -272,6 +317,7 @@
 }
 
 void traffic_server::snapshot_changed() {
+    m_impl->context().apply_client_limits();
     m_impl->context().m_config_waiting.wake_all();
 }
 
--- a/src/traffic/traffic_context.cpp
+++ b/src/traffic/traffic_context.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include "config/mesh.hpp"
 #include "observe/log.hpp"
 
 namespace caraway {
@@ -20,17 +21,44 @@
 // seconds.
 constexpr milliseconds max_idle_time_own_server{4'000};
 
+held_bytes_limits held_limits(const node_settings& settings) {
+    return limits_for_total(settings.m_max_held_bytes != 0
+                                ? settings.m_max_held_bytes
+                                : held_bytes_for_memory(settings.m_memory_bytes));
+}
+
 } // namespace
 
 traffic_context::traffic_context(const node_settings& settings, const clock_source& clock,
                                  snapshot_cell& snapshot, node_metrics& metrics,
                                  traffic_hooks hooks, boost::asio::io_context& io)
     : m_settings(settings), m_clock(clock), m_snapshot(snapshot), m_metrics(metrics),
-      m_hooks(std::move(hooks)), m_io(io),
+      m_hooks(std::move(hooks)), m_io(io), m_budget(held_limits(settings), clock),
       m_peer_pool(io, clock, max_idle_per_peer, settings.m_max_connections, max_idle_time_peers,
                   settings.m_source_address),
       m_server_pool(io, clock, max_idle_own_server, max_idle_own_server, max_idle_time_own_server),
-      m_gate(io, clock), m_keys(settings, clock) {}
+      m_gate(io, clock), m_keys(settings, clock) {
+    apply_client_limits();
+}
+
+void traffic_context::apply_client_limits() {
+    const auto snapshot = m_snapshot.load();
+    const client_limits stated = snapshot->m_mesh ? snapshot->m_mesh->m_limits : client_limits{};
+    const request_limits defaults;
+    const auto value_or = [](std::uint64_t value, std::uint64_t other) {
+        return value != 0 ? value : other;
+    };
+    m_request_limits.m_max_header_bytes = static_cast<std::uint32_t>(
+        value_or(stated.m_max_header_bytes, m_settings.m_max_header_bytes));
+    m_request_limits.m_max_body_bytes =
+        value_or(stated.m_max_body_bytes, m_settings.m_max_body_bytes);
+    m_request_limits.m_header_timeout_ms = stated.m_header_timeout.count() != 0
+                                               ? stated.m_header_timeout.count()
+                                               : defaults.m_header_timeout_ms.load();
+    m_request_limits.m_idle_timeout_ms = stated.m_idle_timeout.count() != 0
+                                             ? stated.m_idle_timeout.count()
+                                             : defaults.m_idle_timeout_ms.load();
+}
 
 void traffic_context::report_newer_version(std::string_view instance, std::uint64_t version,
                                            std::uint64_t own_version) const {
--- a/src/traffic/traffic_context.hpp
+++ b/src/traffic/traffic_context.hpp
@@ -15,6 +15,7 @@
 #include "observe/metrics.hpp"
 #include "observe/span.hpp"
 #include "traffic/admission_gate.hpp"
+#include "traffic/byte_budget.hpp"
 #include "traffic/claims_over_http.hpp"
 #include "traffic/connection_pool.hpp"
 #include "traffic/snapshot.hpp"
@@ -26,6 +27,24 @@
 // connections for an update that may not arrive.
 constexpr std::size_t max_config_waiting = 256;
 
+// Limits of requests. Those that the operators' configuration states replace the settings when it
+// comes into force. Safe to use from any thread.
+struct request_limits {
+    std::atomic<std::uint32_t> m_max_header_bytes{0};
+    std::atomic<std::uint64_t> m_max_body_bytes{0};
+    std::atomic<std::int64_t> m_header_timeout_ms{10'000};
+    std::atomic<std::int64_t> m_idle_timeout_ms{75'000};
+    // Longest pause of a body. As long as the idle timeout that operators state; callers inside
+    // the limits reuse a connection after a pause of up to four fifths of it.
+    duration m_body_pause = milliseconds(15'000);
+    // Lowest rate of a body in bytes per second: 40 callers that share a link of 10 Mbit/s get
+    // eight times as much each.
+    std::uint64_t m_min_body_rate = 4U << 10U;
+
+    duration head_time() const { return milliseconds(m_header_timeout_ms.load()); }
+    duration idle_time() const { return milliseconds(m_idle_timeout_ms.load()); }
+};
+
 // State that the entry side keeps for one service between calls.
 struct entry_state {
     retry_budget m_budget;
@@ -45,6 +64,8 @@
     const traffic_hooks m_hooks;
     boost::asio::io_context& m_io;
 
+    byte_budget m_budget;
+    request_limits m_request_limits;
     connection_pool m_peer_pool;   // to other nodes
     connection_pool m_server_pool; // to the own backend server
     admission_gate m_gate;
@@ -67,6 +88,9 @@
     std::unordered_map<std::string, weighted_round_robin> m_route_splits;
     std::unordered_map<std::string, caller_history> m_caller_histories;
 
+    // Applies the limits of the operators' configuration in force; where it states none, those of
+    // the settings.
+    void apply_client_limits();
     exchange_limits limits() const {
         return {m_settings.m_max_header_bytes, m_settings.m_max_answer_bytes};
     }
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -389,6 +389,8 @@
         {"addresses = [\"127.0.0.1:9000\"]", "addresses = [9000]", "the integer 9000", "strings"},
         {"timeout = \"2s\"", "timeout = \"5s\"", "store.timeout 5s", "below"},
         {"probe_timeout = \"300ms\"", "probe_timeout = \"1s\"", "probe_timeout 1s", "below"},
+        {"memory = 160", "memory = 31", "the integer 31", "from 32"},
+        {"max_held_bytes = 0", "max_held_bytes = -1", "the integer -1", "from 0"},
         {"seed = 0", "seed = -1", "the integer -1", "from 0"},
         {"trace_spans = true", "trace_spans = \"yes\"", "the string \"yes\"", "true or false"},
         {"record_lines = 0", "record_lines = 1000001", "the integer 1000001", "from 0 to 1000000"},
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -104,6 +104,26 @@
     BOOST_TEST(!platform::parse_operator_items(bad_order, reason));
 }
 
+// Guards against limits of the operators that are not read, and against a configuration that is
+// rejected because it states none or only some.
+BOOST_AUTO_TEST_CASE(limits_of_callers_are_read) {
+    const auto parse_limits = [](std::string_view limits) {
+        error reason;
+        const std::string text = with_replacement(config_text, R"("extra":1)", limits);
+        const auto read = platform::parse_operator_items(
+            std::vector<store_entry>{make_entry("op/config", text)}, reason);
+        return read ? std::make_optional(read->m_limits) : std::nullopt;
+    };
+    const client_limits expected{16'384, 67'108'864, milliseconds(3'000), milliseconds(15'000)};
+    BOOST_TEST((parse_limits(R"("limits":{"max_header_bytes":16384,"max_body_bytes":67108864,)"
+                             R"("header_timeout_ms":3000,"idle_timeout_ms":15000})") == expected));
+    BOOST_TEST((parse_limits(R"("extra":2)") == client_limits{}));
+    BOOST_TEST((parse_limits(R"("limits":{"max_body_bytes":5000})") ==
+                client_limits{0, 5'000, milliseconds(0), milliseconds(0)}));
+    BOOST_TEST(!parse_limits(R"("limits":{"max_body_bytes":"5000"})").has_value());
+    BOOST_TEST(!parse_limits(R"("limits":7)").has_value());
+}
+
 // Guards against a mesh without any configuration because one route has a kind that this program
 // doesn't know, and against repeating calls of such a route.
 BOOST_AUTO_TEST_CASE(a_route_of_an_unknown_kind_runs_calls_at_most_once) {
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -418,8 +418,9 @@
     connected_callers.reserve(3);
     for (int i = 0; i < 3; ++i) {
         connected_callers.push_back(std::make_unique<caller>(backend_node));
+        BOOST_TEST(outcome_and_reason(connected_callers.back()->call("/nowhere")) ==
+                   "not-run/no-route");
     }
-    std::this_thread::sleep_for(milliseconds(20));
     BOOST_TEST(outcome_and_reason(caller(backend_node).call("/once/echo")) ==
                "not-run/too-many-connections");
     // The entry side passes on that the call did not run.
@@ -428,6 +429,25 @@
     BOOST_TEST(server.runs() == 0);
 }
 
+// Guards against connections without a request that keep out callers, and against the closing of
+// connections that are in use.
+BOOST_AUTO_TEST_CASE(connections_without_a_request_give_way) {
+    fake_server server;
+    test_node& backend_node = add_node("n1", "pour", server.port());
+    backend_node.m_settings.m_max_connections = 3;
+    start();
+    std::this_thread::sleep_for(milliseconds(20));
+    caller used(backend_node);
+    BOOST_TEST(used.call("/once/echo", "a").body() == "a");
+    std::vector<std::unique_ptr<caller>> silent_callers;
+    for (int i = 0; i < 10; ++i) {
+        silent_callers.push_back(std::make_unique<caller>(backend_node));
+    }
+    BOOST_TEST(caller(backend_node).call("/once/echo", "b").body() == "b");
+    BOOST_TEST(used.call("/once/echo", "c").body() == "c");
+    BOOST_TEST(server.runs() == 3);
+}
+
 // Guards against a second run of a request that is sent again to any node, also concurrently.
 BOOST_AUTO_TEST_CASE(key_runs_once_and_is_replayed) {
     std::vector<std::unique_ptr<fake_server>> servers;
