--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -66,7 +66,12 @@
           m_other_attempts(m_attempts.Add({{"server_data_centre", "other"}})),
           m_speed(add_gauge_family("caraway_server_speed",
                                    "Present run times of the own backend server relative to its "
-                                   "usual ones (slowness), and its mean load")) {}
+                                   "usual ones (slowness), and its mean load")),
+          m_held_bytes(
+              add_gauge_family("caraway_held_bytes", "Bytes held for clients, and their limit")),
+          m_rejected_connections(
+              add_counter_family("caraway_rejected_connections_total",
+                                 "Connections rejected outside the limits, by cause")) {}
 
     prometheus::Family<prometheus::Counter>& add_counter_family(const char* name,
                                                                 const char* help) {
@@ -137,6 +142,8 @@
     prometheus::Counter& m_own_attempts;
     prometheus::Counter& m_other_attempts;
     prometheus::Family<prometheus::Gauge>& m_speed;
+    prometheus::Family<prometheus::Gauge>& m_held_bytes;
+    prometheus::Family<prometheus::Counter>& m_rejected_connections;
 
 private:
     std::shared_mutex m_cache_mutex;
@@ -215,6 +222,16 @@
     m_impl->m_speed.Add({{"figure", "mean_load"}}).Set(mean_load_permille / 1000.0);
 }
 
+void node_metrics::set_held_bytes(std::uint64_t held, std::uint64_t limit) {
+    m_impl->m_held_bytes.Add({{"state", "held"}}).Set(static_cast<double>(held));
+    m_impl->m_held_bytes.Add({{"state", "limit"}}).Set(static_cast<double>(limit));
+}
+
+void node_metrics::set_rejected_connections(std::string_view cause, std::uint64_t count) {
+    auto& counter = m_impl->m_rejected_connections.Add({{"cause", std::string(cause)}});
+    counter.Increment(static_cast<double>(count) - counter.Value());
+}
+
 byte_account& node_metrics::moved_bytes() {
     return m_impl->m_bytes;
 }
--- a/src/observe/metrics.hpp
+++ b/src/observe/metrics.hpp
@@ -47,6 +47,10 @@
     // Sets the present run times of the own backend server relative to its usual ones, and its mean
     // load, both in permille.
     void set_speed(std::uint32_t slowness_permille, std::uint32_t mean_load_permille);
+    // Sets the bytes held for clients and their limit.
+    void set_held_bytes(std::uint64_t held, std::uint64_t limit);
+    // Sets the number of connections rejected so far for a cause.
+    void set_rejected_connections(std::string_view cause, std::uint64_t count);
     // Returns the counters of bytes exchanged with other nodes, to which the calling code adds.
     // Owned by this object.
     byte_account& moved_bytes();
