Background calls lose slots only while more urgent calls lose their useful time

Change: the limit falls by a tenth with each more urgent call that waited for a quarter of its useful time, and all slots are given back within 2 s.

--- a/src/decide/traffic/admission.cpp
+++ b/src/decide/traffic/admission.cpp
@@ -56,8 +56,11 @@
 constexpr double min_wait_correction = 0.25;
 constexpr double max_wait_correction = 4;
 constexpr milliseconds min_compared_wait{5};
-// Averaging time of the number of more urgent calls that run.
-constexpr std::chrono::duration<double> urgent_lifetime{1.0};
+// Part of its useful time that a more urgent call may wait before background calls lose slots, the
+// factor by which their slots fall then, and the time in which all slots are given back.
+constexpr double tolerated_wait_part = 0.25;
+constexpr double background_fall = 0.9;
+constexpr std::chrono::duration<double> background_rise_time{2.0};
 // Upper bound of the reported load; beyond it, more queued calls make no difference to the callers'
 // choice.
 constexpr std::uint64_t max_load_permille = 10'000;
@@ -78,22 +81,22 @@
     return now < state.m_limits.m_cold_until && state.m_limits.m_cold_calls_per_second > 0;
 }
 
-// Returns the mean number of running calls with more than background urgency.
-double mean_urgent_calls(const admission_state& state, time_point now) {
-    const std::chrono::duration<double> elapsed = now - state.m_urgent_changed;
-    const double weight = std::exp(-std::max(0.0, elapsed / urgent_lifetime));
-    return weight * state.m_urgent_mean + (1 - weight) * state.m_urgent_running;
+// Returns the slots that background calls may use at this time, which rise with time.
+double background_limit(const admission_state& state, time_point now) {
+    const std::chrono::duration<double> elapsed = now - state.m_background_updated;
+    const double slots = concurrency_limit(state);
+    return std::min(slots, state.m_background_limit + slots * (elapsed / background_rise_time));
 }
 
-// Adds a running call of this urgency, or removes one if change is -1.
-void count_running(admission_state& state, urgency level, int change, time_point now) {
-    if (level == urgency::background) {
-        state.m_background_running += static_cast<std::uint32_t>(change);
+// Takes slots from background calls if a more urgent call that starts has waited long.
+void update_background_limit(admission_state& state, const queued_call& call, time_point now) {
+    const duration useful_time = call.m_useful_until - call.m_queued_at;
+    if (call.m_urgency == urgency::background || call.m_useful_until == time_point{} ||
+        now - call.m_queued_at <= tolerated_wait_part * useful_time) {
         return;
     }
-    state.m_urgent_mean = mean_urgent_calls(state, now);
-    state.m_urgent_changed = now;
-    state.m_urgent_running += static_cast<std::uint32_t>(change);
+    state.m_background_limit = std::max(1.0, background_fall * background_limit(state, now));
+    state.m_background_updated = now;
 }
 
 // Returns true if one more call may start now. During a reported warm-up, the calls started in any
@@ -120,7 +123,7 @@
 // Counts a call as started.
 void start_call(admission_state& state, urgency level, time_point now) {
     ++state.m_running;
-    count_running(state, level, 1, now);
+    state.m_background_running += level == urgency::background ? 1 : 0;
     if (reports_cold(state, now)) {
         state.m_cold_call_starts.push_back(now);
     }
@@ -316,6 +319,7 @@
            can_start_call(state, state.m_queue[released_count].m_urgency, now)) {
         const queued_call& call = state.m_queue[released_count];
         update_wait_correction(state, call, now);
+        update_background_limit(state, call, now);
         release.m_run.push_back(call.m_id);
         start_call(state, call.m_urgency, now);
         ++released_count;
@@ -411,12 +415,8 @@
 released_calls admission_finish(admission_state& state, const call_sample& sample, time_point now) {
     const bool in_use = state.m_running >= concurrency_limit(state);
     state.m_running -= state.m_running > 0 ? 1 : 0;
-    const std::uint32_t counted = sample.m_urgency == urgency::background
-                                      ? state.m_background_running
-                                      : state.m_urgent_running;
-    if (counted > 0) {
-        count_running(state, sample.m_urgency, -1, now);
-    }
+    const bool background = sample.m_urgency == urgency::background;
+    state.m_background_running -= background && state.m_background_running > 0 ? 1 : 0;
     if (sample.m_cancelled) {
         return release_waiting(state, now);
     }
@@ -484,12 +484,8 @@
             static_cast<std::uint32_t>(1000 * state.m_failure_share), state.m_smoothed_latency};
 }
 
-// The number of calls in progress varies with a standard deviation of about the square root of its
-// mean; it rarely exceeds the mean by more than two of them.
 std::uint32_t background_slots(const admission_state& state, time_point now) {
-    const double mean = mean_urgent_calls(state, now);
-    const double left = concurrency_limit(state) - mean - 2 * std::sqrt(mean);
-    return static_cast<std::uint32_t>(std::max(1.0, std::round(left)));
+    return static_cast<std::uint32_t>(std::max(1.0, background_limit(state, now)));
 }
 
 std::uint32_t admission_load_bound(const admission_state& state) {
