Correct the memory from which a body of 64 MiB fits

Cause: a comment states 150 MB. One connection gets seven eighths of half of the memory, so that 67.2 MB need 153.5 MB.

--- a/src/decide/traffic/held_bytes.hpp
+++ b/src/decide/traffic/held_bytes.hpp
@@ -25,7 +25,7 @@
 
 // Returns the limit of held bytes for an instance with this much memory: half of it, which leaves
 // the other half for the process, the stacks of its connections and its control state. A body of
-// 64 MiB fits into it from 150 MB of memory upwards.
+// 64 MiB fits from 154 MB of memory upwards.
 std::uint64_t held_bytes_for_memory(std::uint64_t memory_bytes);
 
 // Returns the limits for a total. One connection and one address each get at most seven eighths, so
