Answers of other nodes: allow for the headers that the node beside the server adds

Cause: a server's answer with a head close to max_header_bytes passed its own node, which added its headers, and was rejected by the next node.

Change: the limit for heads of answers between nodes is 2 KiB higher, as for requests.

Result: invalid_answer/largest_head_passes_both_nodes fails before and passes after.

--- a/src/traffic/claims_over_http.cpp
+++ b/src/traffic/claims_over_http.cpp
@@ -189,7 +189,7 @@
                        ms_left(control.deadline(), context.m_clock.now()));
     request.prepare_payload();
     auto answer =
-        exchange(control, *open_connection, request, context.limits(), nullptr, yield, reason);
+        exchange(control, *open_connection, request, context.peer_limits(), nullptr, yield, reason);
     if (!answer) {
         return std::nullopt;
     }
--- a/src/traffic/entry_side.cpp
+++ b/src/traffic/entry_side.cpp
@@ -282,7 +282,7 @@
         return matches_request(candidate, number, first_request);
     };
     auto answer =
-        exchange(control, *peer_connection, request, context.limits(), matches, yield, reason);
+        exchange(control, *peer_connection, request, context.peer_limits(), matches, yield, reason);
     if (!answer) {
         return failed(true);
     }
--- a/src/traffic/traffic_context.hpp
+++ b/src/traffic/traffic_context.hpp
@@ -26,6 +26,10 @@
 // connections for an update that may not arrive.
 constexpr std::size_t max_config_waiting = 256;
 
+// Allowance above the header limit for the headers that the node beside a server adds to its
+// answer, so that the next node does not reject an answer that the first one accepted.
+constexpr std::uint32_t max_added_answer_header_bytes = 2U << 10U;
+
 // State that the entry side keeps for one service between calls.
 struct entry_state {
     retry_budget m_budget;
@@ -67,9 +71,15 @@
     std::unordered_map<std::string, weighted_round_robin> m_route_splits;
     std::unordered_map<std::string, caller_history> m_caller_histories;
 
+    // Limits of answers of the own backend server.
     exchange_limits limits() const {
         return {m_settings.m_max_header_bytes, m_settings.m_max_answer_bytes};
     }
+    // Limits of answers of other nodes, whose heads have the headers that those nodes add.
+    exchange_limits peer_limits() const {
+        return {m_settings.m_max_header_bytes + max_added_answer_header_bytes,
+                m_settings.m_max_answer_bytes};
+    }
     // Returns true if the control thread has not confirmed the snapshot for too long.
     bool snapshot_is_stale() const {
         return m_clock.now() > m_trusted_until.load(std::memory_order_relaxed);
--- a/tests/invalid_answer_test.cpp
+++ b/tests/invalid_answer_test.cpp
@@ -59,4 +59,21 @@
     }
 }
 
+// Guards against a head within the limit that the next node rejects, because the node beside the
+// server has added its own headers, and against a breaker that opens for it.
+BOOST_AUTO_TEST_CASE(largest_head_passes_both_nodes) {
+    fake_server server;
+    test_node& backend_node = add_node("n1", "pour", server.port());
+    constexpr std::uint32_t limit = 4U << 10U; // below the limit of the test's own parser
+    for (test_node* node : {&backend_node, &entry()}) {
+        node->m_settings.m_max_header_bytes = limit;
+    }
+    start();
+    for (test_node* node : {&backend_node, &entry()}) {
+        BOOST_TEST(caller(*node).call("/once/head-of-" + std::to_string(limit)).body() == "ok");
+        const http_answer above = caller(*node).call("/once/head-of-" + std::to_string(limit + 1));
+        BOOST_TEST(outcome_and_reason(above) == "unknown/answer-invalid");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/traffic_fixture.hpp
+++ b/tests/traffic_fixture.hpp
@@ -196,6 +196,13 @@
             write("HTTP/1.1 " + action.substr(7) + " Odd\r\nContent-Length: 2\r\n\r\nok");
             return true;
         }
+        if (action.starts_with("head-of-")) {
+            std::string head = "HTTP/1.1 200 OK\r\nx-filler: ";
+            const std::string end = "\r\nContent-Length: 2\r\n\r\n";
+            head.append(std::stoul(action.substr(8)) - head.size() - end.size(), 'a');
+            write(head + end + "ok");
+            return true;
+        }
         if (action == "same-and-late-body") {
             write("HTTP/1.1 304 Same\r\nContent-Length: 5\r\n\r\n");
             std::this_thread::sleep_for(milliseconds(20));
