--- a/src/traffic/entry_side.cpp
+++ b/src/traffic/entry_side.cpp
@@ -316,7 +316,7 @@
     };
     const time_point sent_at = context.m_clock.now();
     auto answer =
-        exchange(control, *peer_connection, request, context.limits(), matches, yield, reason);
+        exchange(control, *peer_connection, request, context.peer_limits(), matches, yield, reason);
     if (!answer) {
         return failed(true);
     }
