A restored store takes back no configuration, evacuation, move order or move result

Cause: when the store comes back from a copy, its revisions go back and are assigned again. Nodes took revisions for versions: the next configuration was not in force until its revision had passed the lost one, an order written again started the move anew, and a watch went on from a revision of the lost history. Change: the store client replaces revisions by versions that begin with the store's era, ignores answers of earlier eras and refuses conditions and watches from them. The text of the new era holds what the store lists; over it each node puts the items that were in force and that the copy lacks, holds in an older form or still holds, until the operators have written them again. These tables are exchanged with the facts. A stored move record states its era, and the holder of the move's lease writes a lost one again. Peer messages have one new optional field. The stand-in of the platform's store and the soak have the restoration.

--- a/src/decide/versions/facts.hpp
+++ b/src/decide/versions/facts.hpp
@@ -35,7 +35,9 @@
     std::int64_t m_deadline_ms = 0; // Unix milliseconds
     std::string m_holder;           // instance that wrote the record last
     std::string m_reason;           // reason for the state and weight
-    std::uint64_t m_revision = 0;   // store revision of this record; not part of the stored value
+    // Version of this record: the store's era when it was written, and its revision. Only the era
+    // is part of the stored value.
+    std::uint64_t m_revision = 0;
     friend bool operator==(const move_record&, const move_record&) = default;
 };
 
--- a/src/decide/versions/version_move.cpp
+++ b/src/decide/versions/version_move.cpp
@@ -6,6 +6,8 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
+#include "store/store_version.hpp"
+
 namespace caraway {
 namespace {
 
@@ -174,6 +176,9 @@
     object["deadline_ms"] = record.m_deadline_ms;
     object["holder"] = record.m_holder;
     object["reason"] = record.m_reason;
+    if (const std::uint64_t era = era_of(record.m_revision); era != 0) {
+        object["era"] = era;
+    }
     return boost::json::serialize(object);
 }
 
@@ -224,8 +229,13 @@
     if (!complete || state == move_states.end()) {
         return std::nullopt;
     }
+    const bool has_era = object.contains("era");
+    const std::int64_t era = has_era ? number("era", static_cast<std::int64_t>(max_era)) : 0;
+    if (!complete) {
+        return std::nullopt;
+    }
     record.m_state = *state;
-    record.m_revision = revision;
+    record.m_revision = make_version(static_cast<std::uint64_t>(era), revision_of(revision));
     return record;
 }
 
--- a/src/decide/versions/version_move.hpp
+++ b/src/decide/versions/version_move.hpp
@@ -48,7 +48,9 @@
                     wall_time now);
 
 // Encode and decode the record as stored: a JSON object on one line. decode_move returns nothing if
-// a field is missing or out of range.
+// a field is missing or out of range. The text states the era of the record's version, in which it
+// was written. After a restoration of the store, a record that comes from the copy therefore keeps
+// its version, and doesn't replace a later one that the copy lacks.
 std::string encode_move(const move_record& record);
 std::optional<move_record> decode_move(std::string_view value, std::uint64_t revision);
 
--- a/src/node/accepter.cpp
+++ b/src/node/accepter.cpp
@@ -313,7 +313,7 @@
                                 ? decode_move(reply.m_value, reply.m_revision)
                                 : std::nullopt;
         if (record && record->m_move_id == id) {
-            state.m_store->remove(key, record->m_revision, [](const store_reply&) {});
+            state.m_store->remove(key, reply.m_revision, [](const store_reply&) {});
         }
     });
 }
--- a/src/node/adapter.hpp
+++ b/src/node/adapter.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "config/mesh.hpp"
+#include "decide/configuration/kept_items.hpp"
 #include "decide/traffic/own_server.hpp"
 #include "decide/versions/facts.hpp"
 #include "store/store_codec.hpp"
@@ -43,6 +44,8 @@
     // sets reason.
     std::function<std::optional<mesh>(std::span<const store_entry> items, error& reason)>
         m_parse_items;
+    // Compares an item of the store with the one kept from before its restoration.
+    item_comparison m_compare_items;
     // Prefix of the store keys of move records. The service's name follows it.
     std::string m_move_key_prefix = "caraway/state/move/";
     // Encode and decode a move record as stored.
--- a/src/node/config_sync.cpp
+++ b/src/node/config_sync.cpp
@@ -1,11 +1,13 @@
 // Carries out the decisions of the configuration distribution: fetches, parses and applies texts.
 #include <algorithm>
+#include <utility>
 
 #include "base/hash.hpp"
 #include "config/item_text.hpp"
 #include "node/control.hpp"
 #include "node/recorded.hpp"
 #include "observe/log.hpp"
+#include "store/store_version.hpp"
 
 namespace caraway {
 namespace {
@@ -29,15 +31,18 @@
     return parsed;
 }
 
-// Parses a text that lists the operators' items, using the platform adapter.
-std::optional<mesh> parse_operator_items(const control& state, std::uint64_t version,
+// Parses a text that lists the operators' items, using the platform adapter. Items that must stay
+// in force after a restoration of the store take precedence over those of the text.
+std::optional<mesh> parse_operator_items(control& state, std::uint64_t version,
                                          std::string_view text) {
-    const auto items = decode_items(text);
+    auto items = decode_items(text);
     error reason;
     if (!items) {
         fail(reason, error_kind::invalid_text, "text is not a list of items");
     }
-    auto parsed = items ? state.m_adapter.m_parse_items(*items, reason) : std::nullopt;
+    auto parsed = items ? state.m_adapter.m_parse_items(
+                              resolve_items(state, version, std::move(*items)), reason)
+                        : std::nullopt;
     if (!parsed) {
         log_event(log_level::error, "config_rejected",
                   {{"version", version}, {"fault", reason.m_text}});
@@ -102,28 +107,33 @@
     return ids;
 }
 
-// Puts a parsed version in force: replaces the mesh, drops facts of moves that it no longer names,
-// rebuilds the snapshot and announces the version to the collector. Drops older parsed versions.
+// Replaces the mesh in force, drops facts of moves that it no longer names, and rebuilds the
+// snapshot.
+void put_in_force(control& state, std::shared_ptr<const mesh> next, std::uint64_t version) {
+    const std::shared_ptr<const mesh> before = std::exchange(state.m_mesh, std::move(next));
+    log_data_centre_changes(before.get(), *state.m_mesh, version);
+    report_unknown_values(state, *state.m_mesh, version);
+    prune_and_record_facts(state, move_ids(*state.m_mesh));
+    update_facts_digest(state);
+    state.m_snapshot_dirty = true;
+    refresh_snapshot(state);
+}
+
+// Puts a parsed version in force and announces it to the collector. Drops older parsed versions.
 void apply_version(control& state, std::uint64_t version) {
     const auto parsed = state.m_parsed_configs.find(version);
     if (parsed == state.m_parsed_configs.end()) {
         return;
     }
-    const std::shared_ptr<const mesh> before = state.m_mesh;
-    state.m_mesh = parsed->second;
+    const std::shared_ptr<const mesh> next = parsed->second;
     state.m_parsed_configs.erase(state.m_parsed_configs.begin(), std::next(parsed));
     std::uint64_t previous_version = state.m_members.m_self.m_config_version;
     state.m_members.m_self.m_config_version = version;
     set_log_config_version(version);
     log_event(log_level::info, "config_applied",
               {{"version", version}, {"previous", previous_version}});
-    log_data_centre_changes(before.get(), *state.m_mesh, version);
     state.m_metrics->set_config_version(version);
-    report_unknown_values(state, *state.m_mesh, version);
-    prune_and_record_facts(state, move_ids(*state.m_mesh));
-    state.m_members.m_facts_digest = facts_digest(state.m_facts);
-    state.m_snapshot_dirty = true;
-    refresh_snapshot(state);
+    put_in_force(state, next, version);
     if (!state.reads_operator_items()) {
         announce_in_force(state);
     }
@@ -234,6 +244,31 @@
     perform(state, decide_text_received(state, instance, received_text));
 }
 
+void apply_kept_items(control& state) {
+    const std::uint64_t applied = state.m_distribution.m_applied;
+    std::vector<std::uint64_t> versions{applied};
+    for (const auto& [version, parsed] : state.m_parsed_configs) {
+        versions.push_back(version);
+    }
+    for (const std::uint64_t version : versions) {
+        const auto text = state.m_distribution.m_texts.find(version);
+        if (text == state.m_distribution.m_texts.end() ||
+            era_of(version) != state.m_kept_items.m_era) {
+            continue;
+        }
+        auto parsed = parse_operator_items(state, version, *text->second.m_text);
+        if (!parsed) {
+            continue;
+        }
+        auto next = std::make_shared<const mesh>(std::move(*parsed));
+        if (version == applied) {
+            put_in_force(state, std::move(next), version);
+        } else {
+            state.m_parsed_configs[version] = std::move(next);
+        }
+    }
+}
+
 void tick_config(control& state, time_point now) {
     perform(state, decide_config_tick(state, now));
     refresh_snapshot(state);
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -18,6 +18,7 @@
 #include "decide/configuration/acceptance.hpp"
 #include "decide/configuration/distribution.hpp"
 #include "decide/configuration/hedged_read.hpp"
+#include "decide/configuration/kept_items.hpp"
 #include "decide/leases/lease.hpp"
 #include "decide/membership/entry_points.hpp"
 #include "decide/membership/membership.hpp"
@@ -103,6 +104,7 @@
     std::optional<time_point> m_slot_check_at; // when this node's slot, if free, is checked
     // Entry point slots that did not hold a known member's address at the last discovery.
     std::vector<std::string> m_unknown_slots;
+    std::uint64_t m_logged_era = 0; // the store's era as last logged
     bool m_records_read = false;
     bool m_records_call_pending = false;
     time_point m_records_retry_at;
@@ -141,6 +143,9 @@
     bool m_holds_record = false;   // the move record names this node as the holder
     bool m_record_current = false; // the record was read since the lease was acquired
     std::optional<move_record> m_record;
+    // Version of the store's record, which is older than m_record if a restoration has lost that.
+    std::uint64_t m_stored_version = 0;
+    std::uint64_t m_era = 0;                // the store's era when the state above was valid
     move_evidence m_evidence;               // lease candidates: evidence of all instances
     move_evidence m_local_evidence;         // own server's calls compared with the old version's
     std::vector<evidence_report> m_reports; // received since the last evaluation
@@ -206,6 +211,7 @@
     membership_table m_members;
     distribution_state m_distribution;
     fact_table m_facts;
+    kept_items m_kept_items; // in force though the store, restored from a copy, may lack them
     std::shared_ptr<const mesh> m_mesh; // in force on this node
     // Configurations that this node has parsed but that are not yet in force here, by version.
     std::map<std::uint64_t, std::shared_ptr<const mesh>> m_parsed_configs;
@@ -279,6 +285,8 @@
 // new ones if spread is set.
 void merge_facts(control& state, std::span<const suspension> suspensions,
                  std::span<const move_record> records, bool spread);
+// Sets the digest of all facts that packets carry. Must be called after each change of a fact.
+void update_facts_digest(control& state);
 // Returns true if this node is among the given number of candidates for a role: those with the
 // highest rendezvous hash of the role's name among the live members that satisfy the filter.
 bool is_candidate(const control& state, std::string_view role, std::size_t candidates,
@@ -316,6 +324,9 @@
 void receive_text(control& state, std::string_view instance, const packed_text& packed);
 // Runs the timers of the distribution of the configuration.
 void tick_config(control& state, time_point now);
+// Builds the configuration in force again, and those that are not yet in force, after a change of
+// the kept items.
+void apply_kept_items(control& state);
 // Rebuilds the routing snapshot if it is marked as out of date.
 void refresh_snapshot(control& state);
 
@@ -345,6 +356,15 @@
 // or status as JSON. Any other path yields 404.
 admin_answer answer_admin_request(const control& state, std::string_view path);
 
+// restored_items.cpp: items that stay in force after the store was restored from a copy.
+
+// Returns the items in force when a text with these items is. If it is the first one of an era,
+// determines what must be kept from the text in force now.
+std::vector<store_entry> resolve_items(control& state, std::uint64_t version,
+                                       std::vector<store_entry> items);
+// Merges the items that another member keeps, and applies them.
+void merge_kept_items(control& state, const kept_items& received);
+
 // store_roles.cpp: store leases and the reader role.
 
 // Passes the accepted record's text to the distribution, unless an accepted version was read from
--- a/src/node/gossip.cpp
+++ b/src/node/gossip.cpp
@@ -38,6 +38,7 @@
     }
     bulk_reply operator()(const facts_message& request) const {
         facts_message reply = collect_facts(m_state);
+        merge_kept_items(m_state, request.m_kept_items);
         merge_facts(m_state, request.m_suspensions, request.m_records, true);
         return reply;
     }
@@ -210,9 +211,15 @@
     for (const auto& [service, value] : state.m_facts.m_records) {
         out.m_records.push_back(value);
     }
+    out.m_kept_items = state.m_kept_items;
     return out;
 }
 
+void update_facts_digest(control& state) {
+    state.m_members.m_facts_digest =
+        facts_digest(state.m_facts) + kept_items_digest(state.m_kept_items);
+}
+
 void exchange_facts(control& state, const std::string& instance, std::function<void()> done) {
     const auto found = state.m_members.m_members.find(instance);
     if (found == state.m_members.m_members.end() ||
@@ -225,6 +232,7 @@
                   state.m_facts_fetching.erase(instance);
                   const auto* facts = reply ? std::get_if<facts_message>(&*reply) : nullptr;
                   if (facts != nullptr) {
+                      merge_kept_items(state, facts->m_kept_items);
                       merge_facts(state, facts->m_suspensions, facts->m_records, true);
                       done();
                   }
@@ -262,7 +270,7 @@
     if (new_suspensions.empty() && new_records.empty()) {
         return;
     }
-    state.m_members.m_facts_digest = facts_digest(state.m_facts);
+    update_facts_digest(state);
     state.m_snapshot_dirty = true;
     if (spread) {
         perform(state, membership_spread_facts(state.m_members, new_suspensions, new_records,
--- a/src/node/join.cpp
+++ b/src/node/join.cpp
@@ -347,6 +347,7 @@
                              {"members", static_cast<std::uint64_t>(joined->m_members.size())},
                              {"peer_version", version}});
                   perform(state, membership_merge(state.m_members, joined->m_members, state.now()));
+                  merge_kept_items(state, joined->m_kept_items);
                   merge_facts(state, joined->m_suspensions, joined->m_records, false);
                   perform(state, decide_join_reply(state, through, version,
                                                    joined->m_predecessor_version));
@@ -376,6 +377,7 @@
     facts_message facts = collect_facts(state);
     reply.m_suspensions = std::move(facts.m_suspensions);
     reply.m_records = std::move(facts.m_records);
+    reply.m_kept_items = std::move(facts.m_kept_items);
     const std::vector<member> joined{request.m_self};
     perform(state, membership_merge(state.m_members, joined, state.now()));
     return reply;
--- a/src/node/move_control.cpp
+++ b/src/node/move_control.cpp
@@ -8,6 +8,7 @@
 #include "node/control.hpp"
 #include "node/recorded.hpp"
 #include "observe/log.hpp"
+#include "store/store_version.hpp"
 
 namespace caraway {
 namespace {
@@ -58,6 +59,7 @@
     role.m_holds_record = false;
     role.m_record_current = false;
     role.m_record.reset();
+    role.m_stored_version = 0;
     role.m_evidence = {};
     role.m_local_evidence = {};
     role.m_reports.clear();
@@ -106,10 +108,11 @@
 }
 
 // Makes a record that was read from or written to the store this node's current move record, and
-// spreads it to the members.
-void adopt_record(control& state, const move_record& record) {
+// spreads it to the members. stored_version is the version under which the store holds it now.
+void adopt_record(control& state, const move_record& record, std::uint64_t stored_version) {
     move_role& role = state.m_move;
     role.m_record = record;
+    role.m_stored_version = stored_version;
     role.m_record_current = true;
     role.m_holds_record = record.m_holder == state.m_settings.m_instance;
     merge_facts(state, {}, std::span(&record, 1), true);
@@ -127,6 +130,7 @@
             role.m_record_current = true;
             role.m_holds_record = false;
             role.m_record.reset();
+            role.m_stored_version = 0;
             return;
         }
         if (reply.m_kind != error_kind::none) {
@@ -138,15 +142,17 @@
             return;
         }
         role.m_retry_at = state.now();
-        adopt_record(state, *record);
+        adopt_record(state, *record, reply.m_revision);
     });
 }
 
-// Writes a record by compare-and-swap on the revision that was read last. Unless the write
+// Writes a record by compare-and-swap on the version that was read last. Unless the write
 // succeeds, the record is read again before the next decision.
-void write_record(control& state, move_record record, std::uint64_t if_revision) {
+void write_record(control& state, move_record record) {
     move_role& role = state.m_move;
     role.m_call_pending = true;
+    record.m_revision = make_version(state.m_store->era(), 0);
+    const std::uint64_t if_revision = role.m_stored_version;
     state.m_store->put(record_key(state, record.m_service), state.m_adapter.m_encode_move(record),
                        if_revision, {}, [&state, record](const store_reply& reply) {
                            move_role& current_role = state.m_move;
@@ -174,7 +180,7 @@
                                current_role.m_evidence_stage = written.m_stage;
                                begin_evidence_stage(state);
                            }
-                           adopt_record(state, written);
+                           adopt_record(state, written, reply.m_revision);
                        });
 }
 
@@ -208,17 +214,51 @@
     return decide_evidence(state, reports, service);
 }
 
+// Returns the record of the move in force if a restoration of the store has lost it: this node
+// knows a later one, of an earlier era, than the store holds. Otherwise returns null.
+const move_record* find_lost_record(const control& state, const service_spec& service) {
+    const move_role& role = state.m_move;
+    const auto known = state.m_facts.m_records.find(service.m_name);
+    if (known == state.m_facts.m_records.end() || known->second.m_move_id != role.m_move_id ||
+        era_of(known->second.m_revision) >= state.m_store->era()) {
+        return nullptr;
+    }
+    const std::uint64_t read_version = role.m_record ? role.m_record->m_revision : 0;
+    return known->second.m_revision > read_version ? &known->second : nullptr;
+}
+
+// Lets the holder of the lease read the record again after a restoration of the store, also that of
+// a finished move: the store may have lost it.
+void reset_after_restoration(control& state) {
+    move_role& role = state.m_move;
+    const std::uint64_t era = state.m_store ? state.m_store->era() : 0;
+    if (role.m_era == era) {
+        return;
+    }
+    role.m_era = era;
+    role.m_record_current = false;
+    role.m_holds_record = false;
+    role.m_verdicts_written.clear();
+}
+
 // Performs one step of the lease holder: reads, creates, takes over or advances the record, or
-// writes the verdict of a finished move.
+// writes the verdict of a finished move. Writes the record again if the store has lost it.
 void step_holder(control& state, const service_spec& service) {
     move_role& role = state.m_move;
     if (!role.m_record_current) {
         read_record(state, service.m_name);
         return;
     }
+    if (const move_record* lost = find_lost_record(state, service)) {
+        log_event(log_level::warning, "move_record_restored",
+                  {{"service", lost->m_service},
+                   {"move", lost->m_move_id},
+                   {"state", move_state_name(lost->m_state)}});
+        write_record(state, *lost);
+        return;
+    }
     if (!role.m_record || role.m_record->m_move_id != role.m_move_id) {
-        const std::uint64_t revision = role.m_record ? role.m_record->m_revision : 0;
-        write_record(state, create_first_move_record(state, service), revision);
+        write_record(state, create_first_move_record(state, service));
         return;
     }
     if (role.m_record->m_state != move_state::running) {
@@ -226,12 +266,12 @@
         return;
     }
     if (!role.m_holds_record) {
-        write_record(state, decide_move_takeover(state, *role.m_record), role.m_record->m_revision);
+        write_record(state, decide_move_takeover(state, *role.m_record));
         return;
     }
     const move_step step = decide_move_step(state, *role.m_record);
     if (step.m_kind == move_step::kind::write) {
-        write_record(state, step.m_record, role.m_record->m_revision);
+        write_record(state, step.m_record);
     }
 }
 
@@ -356,6 +396,7 @@
 void tick_move(control& state, time_point now) {
     const service_spec* service = find_own_moving_service(state);
     reset_on_new_move(state, service);
+    reset_after_restoration(state);
     move_role& role = state.m_move;
     if (role.m_lease) {
         run_lease(state, *role.m_lease, wants_lease(state, service, now));
--- a/src/node/operator_watch.cpp
+++ b/src/node/operator_watch.cpp
@@ -1,8 +1,8 @@
 // Reads the operators' configuration and move orders directly from the store, for platforms whose
 // store itself rejects invalid items. All items whose keys have the operators' prefix together form
-// one configuration text. Its version is the store revision of its latest change. A few members of
-// each data centre watch the store, so that the number of store calls doesn't grow with the fleet;
-// the others fetch each text from members.
+// one configuration text. Its version is that of its latest change: the store's era and revision. A
+// few members of each data centre watch the store, so that the number of store calls doesn't grow
+// with the fleet; the others fetch each text from members.
 
 #include <algorithm>
 
@@ -12,6 +12,7 @@
 #include "node/control.hpp"
 #include "node/recorded.hpp"
 #include "observe/log.hpp"
+#include "store/store_version.hpp"
 
 namespace caraway {
 namespace {
@@ -105,6 +106,19 @@
     perform(state, decide_store_read(state, config_text{version, hash, std::move(text)}));
 }
 
+// Passes the era in force here to the store client, so that late answers of earlier eras are
+// ignored, and logs a restoration of the store.
+void update_store_era(control& state) {
+    state.m_store->learn_era(era_of(state.m_distribution.m_applied));
+    const std::uint64_t era = state.m_store->era();
+    if (era != state.m_operator.m_logged_era) {
+        log_event(log_level::warning, "store_restored",
+                  {{"era", era}, {"previous", state.m_operator.m_logged_era}});
+        state.m_operator.m_logged_era = era;
+        state.m_metrics->set_store_era(era);
+    }
+}
+
 // Ends a read of the items. Returns true if it succeeded and its reply is to be used; schedules the
 // next read if it failed. If a later read has succeeded, the reply says nothing new.
 bool finish_items_read(control& state, std::uint64_t number, const store_reply& reply) {
@@ -146,8 +160,8 @@
     const auto on_reply = [&state, number](const store_reply& reply) {
         operator_watch& current_watch = state.m_operator;
         if (!finish_items_read(state, number, reply)) {
-            // If the store no longer has the history since `m_watch_revision`, it can't report what
-            // changed, so all items are read again.
+            // If the store no longer has the history since `m_watch_revision`, or was restored from
+            // a copy, it can't report what changed, so all items are read again.
             current_watch.m_listed &= reply.m_kind != error_kind::store_not_found;
             return;
         }
@@ -281,6 +295,7 @@
         watch.m_start_at = now + milliseconds(state.m_random.below(max_start_delay.count()));
     }
     refresh_watcher(state, now);
+    update_store_era(state);
     if (now < watch.m_start_at) {
         return;
     }
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -50,6 +50,10 @@
           m_unknown_config_values(
               add_gauge_family("caraway_config_unknown_values",
                                "Values of the configuration in force that are not known here")),
+          m_store_era(
+              add_gauge_family("caraway_store_era", "Restorations of the store from a copy")),
+          m_kept_items(add_gauge_family("caraway_kept_items",
+                                        "Items in force that the restored store lacks")),
           m_members(add_gauge_family("caraway_members", "Members known, by state")),
           m_load(add_gauge_family("caraway_admission_calls",
                                   "Calls at the own backend server, by state")) {}
@@ -114,6 +118,8 @@
     prometheus::Histogram& m_backend_latency;
     prometheus::Family<prometheus::Gauge>& m_config_version;
     prometheus::Family<prometheus::Gauge>& m_unknown_config_values;
+    prometheus::Family<prometheus::Gauge>& m_store_era;
+    prometheus::Family<prometheus::Gauge>& m_kept_items;
     prometheus::Family<prometheus::Gauge>& m_members;
     prometheus::Family<prometheus::Gauge>& m_load;
 
@@ -168,6 +174,14 @@
     m_impl->m_unknown_config_values.Add({}).Set(static_cast<double>(count));
 }
 
+void node_metrics::set_store_era(std::uint64_t era) {
+    m_impl->m_store_era.Add({}).Set(static_cast<double>(era));
+}
+
+void node_metrics::set_kept_items(std::uint64_t count) {
+    m_impl->m_kept_items.Add({}).Set(static_cast<double>(count));
+}
+
 void node_metrics::set_members(std::string_view state, std::uint64_t count) {
     m_impl->m_members.Add({{"state", std::string(state)}}).Set(static_cast<double>(count));
 }
--- a/src/observe/metrics.hpp
+++ b/src/observe/metrics.hpp
@@ -35,6 +35,10 @@
     void set_config_version(std::uint64_t version);
     // Sets the number of values in the configuration in force that this program doesn't know.
     void set_unknown_config_values(std::uint64_t count);
+    // Sets how often the store was restored from a copy.
+    void set_store_era(std::uint64_t era);
+    // Sets the number of operators' items that are in force though the restored store lacks them.
+    void set_kept_items(std::uint64_t count);
     // Sets the number of known members in a state, which is a name that member_state_name returns.
     void set_members(std::string_view state, std::uint64_t count);
     // Sets the running and waiting calls of the own backend server and its concurrency limit.
--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -14,6 +14,7 @@
 #include "config/mesh.hpp"
 #include "decide/configuration/distribution.hpp"
 #include "peer/gen/peer.pb.h"
+#include "peer/kept_items_wire.hpp"
 
 namespace caraway {
 namespace {
@@ -233,7 +234,9 @@
 }
 
 void to_wire(wire::Request& to, const facts_message& from) {
-    facts_to_wire(*to.mutable_fetch_facts()->mutable_own(), from.m_suspensions, from.m_records);
+    auto& own = *to.mutable_fetch_facts()->mutable_own();
+    facts_to_wire(own, from.m_suspensions, from.m_records);
+    kept_items_to_wire(own, from.m_kept_items);
 }
 
 void to_wire(wire::Request& to, const members_digest_request& from) {
@@ -288,6 +291,7 @@
     add_messages(*body.mutable_members(), from.m_members);
     config_to_wire(body, from.m_config);
     facts_to_wire(*body.mutable_facts(), from.m_suspensions, from.m_records);
+    kept_items_to_wire(*body.mutable_facts(), from.m_kept_items);
     body.set_predecessor_version(from.m_predecessor_version);
 }
 
@@ -296,7 +300,9 @@
 }
 
 void to_wire(wire::Reply& to, const facts_message& from) {
-    facts_to_wire(*to.mutable_fetch_facts()->mutable_facts(), from.m_suspensions, from.m_records);
+    auto& facts = *to.mutable_fetch_facts()->mutable_facts();
+    facts_to_wire(facts, from.m_suspensions, from.m_records);
+    kept_items_to_wire(facts, from.m_kept_items);
 }
 
 void to_wire(wire::Reply& to, const members_digest_reply& from) {
@@ -362,7 +368,15 @@
 template <typename Body>
 facts_message facts_from_wire(const Body& from) {
     return {messages_from_wire<suspension>(from.suspensions()),
-            messages_from_wire<move_record>(from.records())};
+            messages_from_wire<move_record>(from.records()),
+            {}};
+}
+
+// Reads the facts of a join reply or an exchange. Packets have no kept items, which may be large.
+facts_message facts_from_wire(const wire::Facts& from) {
+    facts_message out = facts_from_wire<wire::Facts>(from);
+    out.m_kept_items = kept_items_from_wire(from);
+    return out;
 }
 
 evidence_report evidence_from_wire(const wire::EvidenceRequest& from) {
@@ -390,6 +404,7 @@
     facts_message facts = facts_from_wire(from.facts());
     out.m_suspensions = std::move(facts.m_suspensions);
     out.m_records = std::move(facts.m_records);
+    out.m_kept_items = std::move(facts.m_kept_items);
     out.m_predecessor_version = from.predecessor_version();
     return out;
 }
--- a/src/peer/wire.hpp
+++ b/src/peer/wire.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/error.hpp"
+#include "decide/configuration/kept_items.hpp"
 #include "decide/membership/membership.hpp"
 #include "decide/versions/facts.hpp"
 #include "decide/versions/version_move.hpp"
@@ -39,6 +40,7 @@
     std::optional<packed_text> m_config;
     std::vector<suspension> m_suspensions;
     std::vector<move_record> m_records;
+    kept_items m_kept_items;
     // Highest configuration version reported under the joining instance's name, across restarts; 0
     // if unknown.
     std::uint64_t m_predecessor_version = 0;
@@ -54,11 +56,12 @@
 struct fetch_config_reply {
     std::optional<packed_text> m_config; // empty if the peer holds no version that high
 };
-// All facts about version moves that a node knows. Requester and responder both send theirs, so
-// that one exchange makes them equal.
+// All facts about version moves and a restored store that a node knows. Requester and responder
+// both send theirs, so that one exchange makes them equal.
 struct facts_message {
     std::vector<suspension> m_suspensions;
     std::vector<move_record> m_records;
+    kept_items m_kept_items;
 };
 // Asks to compare member tables: the sender's hash of each bucket (see member_bucket_hashes).
 struct members_digest_request {
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -6,9 +6,12 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <deque>
 
 #include "base/dead_peer.hpp"
+#include "store/store_era.hpp"
+#include "store/store_version.hpp"
 
 namespace caraway {
 namespace {
@@ -44,6 +47,17 @@
     std::uint64_t m_received = 0;
 };
 
+// Returns the era that a response states. A malformed header counts as the earliest era, so that
+// the response is ignored if a later one is known.
+std::uint64_t stated_era(const store_codec& codec,
+                         const http::response<http::string_body>& response) {
+    if (codec.m_era_header.empty()) {
+        return 0;
+    }
+    const auto header = response[codec.m_era_header];
+    return parse_era({header.data(), header.size()}).value_or(0);
+}
+
 // Decodes the response of the store, or reports the error of the HTTP request.
 store_reply make_reply(const store_codec& codec, const store_command& command,
                        const http_exchange& finished) {
@@ -72,11 +86,17 @@
         asio::spawn(
             m_context,
             [self = shared_from_this(), call = std::move(call)](asio::yield_context yield) {
-                http_exchange finished = self->run(call, yield);
+                const std::uint64_t sent_era = self->m_era;
+                http_exchange finished;
+                auto outdated = refuse_outdated(call.m_command, sent_era);
+                if (!outdated) {
+                    finished = self->run(call, yield);
+                }
                 if (self->m_stopped) {
                     return;
                 }
-                const store_reply reply = make_reply(self->m_codec, call.m_command, finished);
+                const store_reply reply =
+                    outdated ? *outdated : self->receive(call.m_command, finished, sent_era);
                 if (self->m_observer) {
                     self->m_observer(call.m_command, reply.m_kind, finished.m_sent,
                                      finished.m_received);
@@ -97,8 +117,22 @@
     }
 
     milliseconds timeout() const { return m_timeout; }
+    std::uint64_t era() const { return m_era; }
+    void learn_era(std::uint64_t era) { m_era = std::max(m_era, era); }
 
 private:
+    // Decodes the response to a call, with versions in place of revisions, and learns its era.
+    store_reply receive(const store_command& command, const http_exchange& finished,
+                        std::uint64_t sent_era) {
+        store_reply reply = make_reply(m_codec, command, finished);
+        if (finished.m_kind != error_kind::none) {
+            return reply;
+        }
+        const std::uint64_t answer_era = stated_era(m_codec, finished.m_response);
+        learn_era(answer_era);
+        return reply_in_era(command, std::move(reply), sent_era, answer_era, m_era);
+    }
+
     // Sends the request and reads the response. An idle connection that the store has closed is
     // detected before anything is written. After a failed exchange the outcome of a write is
     // unknown if any byte was sent.
@@ -114,7 +148,7 @@
                 return out;
             }
         }
-        store_http_request encoded = m_codec.m_encode(call.m_command);
+        store_http_request encoded = m_codec.m_encode(with_revisions(call.m_command));
         http::request<http::string_body> request;
         request.version(11);
         request.method_string(encoded.m_method);
@@ -193,6 +227,7 @@
     milliseconds m_timeout;
     store_observer m_observer;
     std::deque<std::unique_ptr<beast::tcp_stream>> m_idle_connections;
+    std::uint64_t m_era = 0; // the highest known
     bool m_stopped = false;
 };
 
@@ -211,6 +246,13 @@
             done(page);
             return;
         }
+        if (!first && era_of(page.m_revision) != era_of(collected->m_revision)) {
+            store_reply failed;
+            failed.m_kind = error_kind::store_unreachable;
+            failed.m_text = "the store was restored between two pages";
+            done(failed);
+            return;
+        }
         collected->m_revision = first ? page.m_revision : collected->m_revision;
         collected->m_entries.insert(collected->m_entries.end(), page.m_entries.begin(),
                                     page.m_entries.end());
@@ -268,6 +310,14 @@
     run(std::move(command), wait + watch_timeout_margin, std::move(done));
 }
 
+std::uint64_t store_client::era() const {
+    return m_impl->era();
+}
+
+void store_client::learn_era(std::uint64_t era) {
+    m_impl->learn_era(era);
+}
+
 void store_client::get(std::string_view key, store_callback done) {
     store_command command;
     command.m_key = key;
--- a/src/store/store_client.hpp
+++ b/src/store/store_client.hpp
@@ -1,6 +1,7 @@
 // Asynchronous HTTP client of the platform's key-value service. Runs on the io_context of the code
 // that creates it (the control thread). Each call has a timeout and reports exactly one reply
-// unless the client is destroyed first.
+// unless the client is destroyed first. Revisions are versions (store/store_version.hpp), so that a
+// revision that was assigned again after a restoration of the store is not taken for the old one.
 #pragma once
 
 #include <cstdint>
@@ -73,6 +74,12 @@
     void renew_lease(std::string_view lease, store_callback done);
     void end_lease(std::string_view lease, store_callback done);
 
+    // Returns the highest era that an answer has stated or that learn_era was told.
+    std::uint64_t era() const;
+    // States that the store is in this era or a later one. Answers of earlier eras are then
+    // ignored.
+    void learn_era(std::uint64_t era);
+
 private:
     class impl;
     explicit store_client(std::shared_ptr<impl> implementation);
--- a/src/store/store_codec.hpp
+++ b/src/store/store_codec.hpp
@@ -22,10 +22,13 @@
     bool m_deleted = false;
 };
 
-// Reply to one store call. Members name the operations that set them. m_kind is none on success,
-// otherwise one of:
-// - store_conflict: a compare-and-swap failed; m_revision is the key's current revision
+// Reply to one store call. A codec states revisions in it, and the client replaces them by versions
+// (store/store_version.hpp), which also are what its callers pass as revisions. Members name the
+// operations that set them. m_kind is none on success, otherwise one of:
+// - store_conflict: a compare-and-swap failed; m_revision is the key's current revision, or 0 if
+//   the store was restored since the revision of the condition was read
 // - store_not_found: the key is absent, or the history that a watch needs is no longer available
+//   (also after the store was restored from a copy)
 // - store_lease_lost: the lease has ended
 // - store_value_too_large: the value exceeds the store's limit
 // - store_throttled: the rate limit of the store is reached
@@ -98,6 +101,8 @@
     std::function<store_http_request(const store_command&)> m_encode;
     // Decodes a response. A malformed one becomes store_outcome_unknown.
     std::function<store_reply(const store_command&, const store_http_response&)> m_decode;
+    // Name of the header that states the store's era. If empty, the era is always 0.
+    std::string m_era_header;
 };
 
 // Returns the codec of the product's own store interface (docs/design.md, section 5).
--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -1,9 +1,12 @@
 """Stand-ins of the platform: its key-value store and backend servers that report themselves.
 
 Both run as threads of the test. The store keeps items with revisions, and supports watches,
-conditional writes and leases; with down set it refuses every call, with silent set it loses it.
+conditional writes and leases; with down set it refuses every call, with silent set it loses it. It
+can be restored from a copy, which loses all later writes and leases and assigns their revisions
+again.
 """
 import base64
+import copy
 import http.client
 import http.server
 import json
@@ -65,6 +68,8 @@
         self.revision, self.calls, self.down, self.silent = 1, 0, False, False
         self.oldest_revision = 0  # watches from an earlier revision get 410
         self.waiting_watches = set()  # their connections
+        self.era = 0  # number of restorations; answers name it after the first one
+        self.copied = None  # what a restoration brings back
         self.hidden_key_parts = ()  # lists omit keys that contain one of these parts
         self.changed = threading.Condition()
         store = self
@@ -78,6 +83,10 @@
 
             do_DELETE = do_POST
 
+            def reply(self, status, value=None, headers=None):
+                era = {"Store-Era": str(store.era)} if store.era else {}
+                super().reply(status, value, {**(headers or {}), **era})
+
         self.server, self.address = _serve(Handler)
 
     def put(self, key, value):
@@ -106,6 +115,24 @@
             self.oldest_revision = self.revision
         self.cut_watches()
 
+    def take_copy(self):
+        """Makes the copy that the next restoration brings back."""
+        with self.changed:
+            self.copied = copy.deepcopy((self.items, self.leases, self.revision))
+
+    def restore(self, outage_s=0):
+        """Is unavailable for a time, then continues from the copy in a new era."""
+        with self.changed:
+            self.down = True
+            self.changed.notify_all()
+        time.sleep(outage_s)
+        with self.changed:
+            self.items, self.leases, self.revision = copy.deepcopy(self.copied)
+            self.events = [e for e in self.events if e["revision"] <= self.revision]
+            self.era += 1
+            self.down = False
+            self.changed.notify_all()
+
     def _write(self, key, value, lease):
         self.revision += 1
         created = self.items[key]["create_revision"] if key in self.items else self.revision
@@ -154,16 +181,19 @@
                 return handler.reply(200, {"items": rows[:2], "has_more": len(rows) > 2,
                                            "current_rev": self.revision})
 
-            if int(query["after"]) < self.oldest_revision:
+            if not self.oldest_revision <= int(query["after"]) <= self.revision:
                 return handler.reply(410)
+            era = self.era
 
             def pending_events():
                 return [e for e in self.events
                         if e["revision"] > int(query["after"]) and e["key"].startswith(prefix)]
             self.waiting_watches.add(handler.connection)
-            self.changed.wait_for(lambda: pending_events() or self.down,
+            self.changed.wait_for(lambda: pending_events() or self.down or era != self.era,
                                   int(query["wait_ms"]) / 1000)
             self.waiting_watches.discard(handler.connection)
+            if era != self.era:
+                return handler.reply(410)
             answer = {"events": pending_events(), "current_rev": self.revision}
         if self.silent:
             return self._lose(handler)
--- /dev/null
+++ b/tests/integration/restored_store_test.py
@@ -0,0 +1,141 @@
+"""Nodes on the platform whose store is restored from a copy: it loses the latest writes, and assigns
+their revisions again to other ones."""
+import json
+import time
+
+from harness import run_tests, wait_until
+from platform_mesh import FIRST_ROUTES, config
+from platform_test import APPLY_S, EVACUATE_S, READY_S, Platform
+
+OUTAGE_S = 0.5    # the store is unavailable before it continues from the copy
+OBSERVED_S = 2.5  # longer than a watch, so that every watching node has read the restored items
+CONTACT_S = 3     # until a joining node has received what the members know
+CALLS = 20
+
+
+def write_after_copy(platform):
+    """Copies the store and then takes a data centre out and writes a configuration, both of which
+    the copy lacks. Returns the last revision."""
+    store = platform.store
+    store.take_copy()
+    store.put("op/evacuate/north", "{}")
+    revision = store.put("op/config", config(9, FIRST_ROUTES[:2]))
+    wait_until(lambda: all(i.call("/both/a")[0] == 404 for i in platform.instances), APPLY_S,
+               "in force")
+    time.sleep(EVACUATE_S)
+    return revision
+
+
+def runs_in_north(platform):
+    return sum(len(i.server.runs) for i in platform.instances if i.data_centre == "north")
+
+
+def check_in_force(platform, entry, runs_before):
+    """Checks that the configuration and the evacuation that the copy lacks are in force."""
+    for _ in range(CALLS):
+        assert entry.call("/stock/a")[0] == 200
+    assert entry.call("/both/a")[0] == 404, "the configuration of the copy is in force"
+    assert runs_in_north(platform) == runs_before, "a run in an evacuated data centre"
+
+
+def test_changes_after_the_copy_stay_in_force():
+    """Guards against a return to the configuration of the copy, against calls to a data centre whose
+    evacuation the copy lacks, and against a next configuration that is never in force because its
+    revision is not higher than the one in force."""
+    with Platform() as platform:
+        store, entry = platform.store, platform.instances[1]
+        lost_revision = write_after_copy(platform)
+        runs_before = runs_in_north(platform)
+        store.restore(OUTAGE_S)
+        until = time.monotonic() + OBSERVED_S
+        while time.monotonic() < until:
+            for instance in platform.instances:
+                check_in_force(platform, instance, runs_before)
+        revision = store.put("op/config", config(10, [*FIRST_ROUTES[:2], ("/new/", "idempotent",
+                                                                         {"service": "stock"})]))
+        assert revision <= lost_revision, "the revision had not been assigned before"
+        written_at = time.monotonic()
+        wait_until(lambda: all(i.call("/new/z")[0] == 200 for i in platform.instances), APPLY_S,
+                   "in force")
+        delay_s = time.monotonic() - written_at
+        check_in_force(platform, entry, runs_before)
+        store.put("op/evacuate/north", "{}")
+        time.sleep(APPLY_S)
+        check_in_force(platform, entry, runs_before)
+        store.delete("op/evacuate/north")
+        wait_until(lambda: [platform.instances[0].call("/stock/d") for _ in range(8)] and
+                   runs_in_north(platform) > runs_before, 5, "taken back")
+        return f"applied in {delay_s:.2f} s"
+
+
+def test_a_deleted_order_stays_deleted():
+    """Guards against an evacuation that the copy still holds and that its deletion had ended: its
+    data centre would get no calls."""
+    with Platform() as platform:
+        store, entry = platform.store, platform.instances[0]
+        store.put("op/evacuate/north", "{}")
+        time.sleep(EVACUATE_S)
+        store.take_copy()
+        store.delete("op/evacuate/north")
+        runs_before = runs_in_north(platform)
+        wait_until(lambda: [entry.call("/stock/d") for _ in range(8)] and
+                   runs_in_north(platform) > runs_before, 5, "taken back")
+        store.restore(OUTAGE_S)
+        until = time.monotonic() + OBSERVED_S
+        while time.monotonic() < until:
+            assert entry.call("/stock/d")[0] == 200
+        runs_before = runs_in_north(platform)
+        for _ in range(CALLS):
+            assert entry.call("/stock/d")[0] == 200
+        assert runs_in_north(platform) > runs_before, "evacuated again"
+
+
+def test_a_node_that_starts_afterwards():
+    """Guards against a restarted node that knows only the copy: it would use the older
+    configuration, and send calls to the data centre whose evacuation the copy lacks."""
+    with Platform() as platform:
+        restarted = platform.instances[1]
+        write_after_copy(platform)
+        restarted.node.kill()
+        restarted.node.wait(5)
+        platform.store.restore(OUTAGE_S)
+        time.sleep(OBSERVED_S)
+        restarted.start()
+        wait_until(restarted.ready, READY_S, "ready")
+        time.sleep(CONTACT_S)
+        runs_before = runs_in_north(platform)
+        check_in_force(platform, restarted, runs_before)
+
+
+def test_a_move_written_again_continues():
+    """Guards against a move that starts again because its order, which the copy lacks, was written
+    again with another revision: a version that was taken back would get calls again."""
+    with Platform() as platform:
+        store = platform.store
+        store.take_copy()
+        order = json.dumps({"service": "stock", "target_version": "v2", "duration_s": 1})
+        store.put("op/rollout/stock", order)
+
+        def state():
+            value = store.value("status/rollout/stock")
+            return json.loads(value)["state"] if value else None
+
+        wait_until(lambda: state() == "rolled_back", 15, "taken back without a server of v2")
+        records = [json.loads(json.loads(store.value("status/rollout/stock"))["record"])]
+        store.restore(OUTAGE_S)
+        time.sleep(OBSERVED_S)
+        store.put("op/config", config(6, FIRST_ROUTES))  # shifts the order's revision
+        store.put("op/rollout/stock", order)
+        until = time.monotonic() + 8
+        while time.monotonic() < until:
+            if store.value("status/rollout/stock"):
+                records.append(json.loads(json.loads(store.value("status/rollout/stock"))["record"]))
+            time.sleep(0.05)
+        assert {r["move_id"] for r in records} == {records[0]["move_id"]}, "another move"
+        assert {r["state"] for r in records} == {"taken_back"}, "the move runs again"
+        return f"{len(records) - 1} records seen afterwards"
+
+
+if __name__ == "__main__":
+    run_tests([test_changes_after_the_copy_stay_in_force, test_a_deleted_order_stays_deleted,
+               test_a_node_that_starts_afterwards, test_a_move_written_again_continues])
--- a/tests/soak/platform_soak.py
+++ b/tests/soak/platform_soak.py
@@ -4,7 +4,8 @@
 usage: platform_soak.py BIN_DIR [--seeds FIRST..LAST | --seeds N,N | --fresh COUNT] [--seconds S]
 
 For each seed, injects overlapping faults while clients call through one node that is spared: the
-store loses calls, refuses them, cuts its watches or drops its history; nodes are killed or paused;
+store loses calls, refuses them, cuts its watches, drops its history or is restored from a copy;
+nodes are killed or paused;
 servers leave, drain and are replaced while their reports arrive late; another writer sends invalid
 reports; the operators change the configuration and take a data centre out. Then checks the promises
 from what clients, servers and operators have seen, and that changes are in force in time once all
@@ -46,6 +47,8 @@
         self.departures, self.evacuations, self.versions = [], [], []
         self.calls, self.probes, self.servers = [], [], []
         self.stopping = threading.Event()
+        self.operators = threading.RLock()  # what they wrote and the items of the store agree
+        self.config, self.evacuated = None, False
 
     def start(self):
         self.write_config(False)
@@ -65,8 +68,10 @@
     def write_config(self, with_extra_route):
         version = 5 + len(self.versions)
         routes = [*BASE_ROUTES, EXTRA_ROUTE] if with_extra_route else BASE_ROUTES
-        self.store.put("op/config", config(version, routes))
-        self.versions.append((time.monotonic(), with_extra_route))
+        with self.operators:
+            self.config = config(version, routes)
+            self.store.put("op/config", self.config)
+            self.versions.append((time.monotonic(), with_extra_route))
 
     def disturb(self, intervals, begin, end, seconds):
         """Runs begin and, after the time, end. Records the time between them."""
@@ -101,6 +106,25 @@
     def drop_history(self, _):
         self.disturb(self.outages, self.store.drop_history, lambda: None, 0)
 
+    def restore_store(self, rng):
+        """Restores the store from a copy that lacks up to 3 s of writes; the operators then write
+        again what they had written."""
+        self.store.take_copy()
+        time.sleep(rng.uniform(0.5, 3))
+
+        def begin():
+            with self.operators:
+                self.store.restore(rng.uniform(0.1, 1))
+
+        def end():
+            with self.operators:
+                self.store.put("op/config", self.config)
+                if self.evacuated:
+                    self.store.put("op/evacuate/south", "{}")
+                else:
+                    self.store.delete("op/evacuate/south")
+        self.disturb(self.outages, begin, end, rng.uniform(0.3, 3))
+
     def restart_node(self, rng, worker):
         self.disturb(self.disturbances[worker], worker.node.kill, worker.start,
                      rng.uniform(0, 1))
@@ -141,18 +165,23 @@
         self.write_config(not self.versions[-1][1])
 
     def evacuate(self, rng):
-        self.store.put("op/evacuate/south", "{}")
+        with self.operators:
+            self.evacuated = True
+            self.store.put("op/evacuate/south", "{}")
         evacuation = [time.monotonic(), float("inf")]
         self.evacuations.append(evacuation)
         time.sleep(EVACUATE_S + rng.uniform(0, 2))
         evacuation[1] = time.monotonic()
-        self.store.delete("op/evacuate/south")
+        with self.operators:
+            self.evacuated = False
+            self.store.delete("op/evacuate/south")
 
     def next_fault(self):
         """Picks a fault for the schedule."""
         kind, action, target = self.rng.choice([
             ("silence", self.silence_store, "store"), ("silence", self.silence_store, "store"),
             ("down", self.stop_store, "store"), ("history", self.drop_history, "store"),
+            ("restore", self.restore_store, "store"),
             ("kill", self.restart_node, None), ("pause", self.pause_node, None),
             ("server", self.replace_server, None), ("server", self.replace_server, None),
             ("report", self.send_invalid_report, None), ("config", self.change_config, "config"),
