After a restoration of the store only one holder of a move's lease acts

Cause: leases that the copy lacks are lost, and their ids and the revisions of their keys are assigned again. A holder that didn't know of the restoration could renew or release another node's lease, and its conditional write of the move record could succeed by accident. Change: a keeper that learns of a new era reads its key before anything else. It goes on under its own claim after a renewal, otherwise it claims the key under a new store lease, and never releases the old one. Each claim on the users' platform also writes a fence, a key with a random name under the same lease; writes of the move record require it. Replay knows the new input.

--- a/src/ctl/replay_player.cpp
+++ b/src/ctl/replay_player.cpp
@@ -37,6 +37,10 @@
         const lease_request request = lease_tick(keeper, input.flag("wanted"), input.m_now);
         return action_text(keeper, request);
     }
+    if (input.m_input_name == "restored") {
+        lease_store_restored(keeper, input.m_now);
+        return action_text(keeper, lease_request::none);
+    }
     lease_receive(
         keeper,
         {error_kind_of(input), input.text("lease"), input.count("revision"), input.text("value")},
--- a/src/decide/leases/lease.cpp
+++ b/src/decide/leases/lease.cpp
@@ -38,6 +38,7 @@
     keeper.m_revision = 0;
     keeper.m_claim_outcome_unknown = false;
     keeper.m_read_before_retry = false;
+    keeper.m_doubtful = false;
 }
 
 // Starts the release of the lease. No later reply can make it held again.
@@ -59,6 +60,33 @@
     keeper.m_next_attempt = std::max(now, granted + keeper.m_period / renewal_divisor);
 }
 
+// Marks a lease that has outlived a restoration of the store as held from the next renewal on. The
+// copy may hold an older expiry time than the keeper does.
+void mark_held_if_renewed(lease_keeper& keeper, std::uint64_t revision, time_point now) {
+    mark_held(keeper, revision, now);
+    keeper.m_doubtful = false;
+    keeper.m_valid_until = now;
+    keeper.m_next_attempt = now;
+}
+
+// Lets the key be read before anything else is done with a lease from before a restoration.
+void check_after_restoration(lease_keeper& keeper, time_point now) {
+    keeper.m_held = false;
+    if (keeper.m_lease.empty()) {
+        return;
+    }
+    if (keeper.m_phase == lease_phase::releasing) {
+        reset_to_idle(keeper); // the lease, if it still exists, expires
+        keeper.m_next_attempt = now;
+        return;
+    }
+    keeper.m_phase = lease_phase::claiming;
+    keeper.m_doubtful = true;
+    keeper.m_claim_outcome_unknown = false;
+    keeper.m_read_before_retry = true;
+    keeper.m_next_attempt = now;
+}
+
 // Handles a claim that failed because another holder has the key. The own store lease has no key
 // and is left to expire, which needs no further request.
 void handle_claim_conflict(lease_keeper& keeper, time_point now) {
@@ -121,6 +149,11 @@
 void handle_read_reply(lease_keeper& keeper, const lease_reply& reply, time_point now) {
     const bool absent = reply.m_kind == error_kind::store_not_found;
     keeper.m_other_holder_value = reply.m_kind == error_kind::none ? reply.m_value : std::string{};
+    if (absent && keeper.m_doubtful) {
+        reset_to_idle(keeper);
+        keeper.m_next_attempt = now;
+        return;
+    }
     if (absent) {
         keeper.m_read_before_retry = false;
         keeper.m_next_attempt = now;
@@ -136,7 +169,11 @@
     }
     if (reply.m_value == lease_claim_value(keeper)) {
         keeper.m_other_holder_value.clear();
-        mark_held(keeper, reply.m_revision, now);
+        if (keeper.m_doubtful) {
+            mark_held_if_renewed(keeper, reply.m_revision, now);
+        } else {
+            mark_held(keeper, reply.m_revision, now);
+        }
         return;
     }
     handle_claim_conflict(keeper, now);
@@ -195,7 +232,7 @@
             keeper.m_release_due = true;
             return lease_request::none;
         }
-        if (keeper.m_lease.empty()) {
+        if (keeper.m_lease.empty() || keeper.m_doubtful) {
             reset_to_idle(keeper);
             return lease_request::none;
         }
@@ -259,14 +296,28 @@
         handle_release_reply(keeper, reply, now);
         break;
     }
+    if (std::exchange(keeper.m_restored_meanwhile, false)) {
+        check_after_restoration(keeper, now);
+    }
     if (std::exchange(keeper.m_release_due, false) && keeper.m_phase != lease_phase::releasing) {
         keeper.m_held = false;
-        if (!keeper.m_lease.empty()) {
+        if (keeper.m_doubtful) {
+            reset_to_idle(keeper);
+        } else if (!keeper.m_lease.empty()) {
             start_release(keeper, now);
         }
     }
 }
 
+void lease_store_restored(lease_keeper& keeper, time_point now) {
+    keeper.m_held = false;
+    if (keeper.m_pending_request != lease_request::none) {
+        keeper.m_restored_meanwhile = true;
+        return;
+    }
+    check_after_restoration(keeper, now);
+}
+
 std::string lease_claim_value(const lease_keeper& keeper) {
     return keeper.m_value + ' ' + keeper.m_lease;
 }
--- a/src/decide/leases/lease.hpp
+++ b/src/decide/leases/lease.hpp
@@ -39,6 +39,11 @@
     bool m_claim_outcome_unknown = false;
     bool m_read_before_retry = false; // read the key before the next create or claim
     bool m_release_due = false; // not wanted while a request was pending: release after its reply
+    // The store was restored from a copy. m_lease may be lost, or be the id of another holder's
+    // lease by now, until the key has been read with this keeper's claim.
+    bool m_doubtful = false;
+    bool m_restored_meanwhile =
+        false;                     // restored while a request was pending: check after its reply
     time_point m_release_deadline; // an unanswered release is abandoned after this time
     random_source m_random{1};
 };
@@ -66,6 +71,12 @@
 // Handles the reply to the pending request. A reply without a pending request is ignored.
 void lease_receive(lease_keeper& keeper, const lease_reply& reply, time_point now);
 
+// Handles the news that the store was restored from a copy. The lease is not held any more. If the
+// key still has this keeper's claim, it is held again after a renewal, otherwise it is claimed
+// again under a new store lease. The old one is neither renewed before nor released: its id may
+// have been assigned again.
+void lease_store_restored(lease_keeper& keeper, time_point now);
+
 // Returns the value to write with a claim: the keeper's value and the store lease id. A read after
 // an unknown outcome must distinguish this claim from one that the same node made under an earlier
 // lease, whose key disappears with that lease.
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -63,6 +63,9 @@
 // A lease that this node may hold, and the state of its store calls.
 struct lease_role {
     lease_keeper m_keeper;
+    // Key of the fence of the current claim, with a random part; empty where the store has none.
+    std::string m_fence_key;
+    std::uint64_t m_era = 0; // the store's era as last told to the keeper
     bool m_call_pending = false;
     bool m_logged_as_held = false; // whether the last log line reported it as held
     bool m_candidate = false;      // result of the last candidate check
@@ -146,6 +149,7 @@
     // Version of the store's record, which is older than m_record if a restoration has lost that.
     std::uint64_t m_stored_version = 0;
     std::uint64_t m_era = 0;                // the store's era when the state above was valid
+    store_fence m_fence;                    // of the lease's current claim, as read from the store
     move_evidence m_evidence;               // lease candidates: evidence of all instances
     move_evidence m_local_evidence;         // own server's calls compared with the old version's
     std::vector<evidence_report> m_reports; // received since the last evaluation
@@ -178,8 +182,8 @@
     std::vector<entry_point> m_entry_points; // from the last list of the store
     time_point m_entry_points_listed_at;
     bool m_mesh_first_start = false; // the first list was nearly empty: the whole mesh starts
-    time_point m_next_discovery;     // when a watching member next looks for unknown members
-    std::set<std::string> m_pending; // formatted addresses with an outstanding join request
+    time_point m_next_discovery;       // when a watching member next looks for unknown members
+    std::set<std::string> m_pending;   // formatted addresses with an outstanding join request
     time_point m_first_attempt;
     time_point m_next_attempt;
     std::uint32_t m_failures = 0;
--- a/src/node/move_control.cpp
+++ b/src/node/move_control.cpp
@@ -153,35 +153,36 @@
     role.m_call_pending = true;
     record.m_revision = make_version(state.m_store->era(), 0);
     const std::uint64_t if_revision = role.m_stored_version;
-    state.m_store->put(record_key(state, record.m_service), state.m_adapter.m_encode_move(record),
-                       if_revision, {}, [&state, record](const store_reply& reply) {
-                           move_role& current_role = state.m_move;
-                           current_role.m_call_pending = false;
-                           if (record.m_move_id != current_role.m_move_id) {
-                               return; // the text has another move by now
-                           }
-                           if (reply.m_kind != error_kind::none) {
-                               current_role.m_record_current = false;
-                               current_role.m_holds_record = false;
-                               current_role.m_retry_at = state.now() + store_retry_pause;
-                               return;
-                           }
-                           move_record written = record;
-                           written.m_revision = reply.m_revision;
-                           log_event(log_level::info, "move_written",
-                                     {{"service", written.m_service},
-                                      {"move", written.m_move_id},
-                                      {"state", move_state_name(written.m_state)},
-                                      {"weight_permille", written.m_weight_permille},
-                                      {"stage", written.m_stage},
-                                      {"revision", written.m_revision},
-                                      {"reason", written.m_reason}});
-                           if (current_role.m_evidence_stage != written.m_stage) {
-                               current_role.m_evidence_stage = written.m_stage;
-                               begin_evidence_stage(state);
-                           }
-                           adopt_record(state, written, reply.m_revision);
-                       });
+    state.m_store->put_fenced(record_key(state, record.m_service),
+                              state.m_adapter.m_encode_move(record), if_revision, {}, role.m_fence,
+                              [&state, record](const store_reply& reply) {
+                                  move_role& current_role = state.m_move;
+                                  current_role.m_call_pending = false;
+                                  if (record.m_move_id != current_role.m_move_id) {
+                                      return; // the text has another move by now
+                                  }
+                                  if (reply.m_kind != error_kind::none) {
+                                      current_role.m_record_current = false;
+                                      current_role.m_holds_record = false;
+                                      current_role.m_retry_at = state.now() + store_retry_pause;
+                                      return;
+                                  }
+                                  move_record written = record;
+                                  written.m_revision = reply.m_revision;
+                                  log_event(log_level::info, "move_written",
+                                            {{"service", written.m_service},
+                                             {"move", written.m_move_id},
+                                             {"state", move_state_name(written.m_state)},
+                                             {"weight_permille", written.m_weight_permille},
+                                             {"stage", written.m_stage},
+                                             {"revision", written.m_revision},
+                                             {"reason", written.m_reason}});
+                                  if (current_role.m_evidence_stage != written.m_stage) {
+                                      current_role.m_evidence_stage = written.m_stage;
+                                      begin_evidence_stage(state);
+                                  }
+                                  adopt_record(state, written, reply.m_revision);
+                              });
 }
 
 // Returns the sum of the reports of one version.
@@ -239,12 +240,31 @@
     role.m_record_current = false;
     role.m_holds_record = false;
     role.m_verdicts_written.clear();
+    role.m_fence = {};
+}
+
+// Reads the version of the claim's fence, which all writes of the record require.
+void read_fence(control& state, const std::string& key) {
+    state.m_move.m_call_pending = true;
+    state.m_store->get(key, [&state, key](const store_reply& reply) {
+        move_role& role = state.m_move;
+        role.m_call_pending = false;
+        if (reply.m_kind == error_kind::none) {
+            role.m_fence = {key, reply.m_revision};
+        } else {
+            role.m_retry_at = state.now() + store_retry_pause;
+        }
+    });
 }
 
 // Performs one step of the lease holder: reads, creates, takes over or advances the record, or
 // writes the verdict of a finished move. Writes the record again if the store has lost it.
 void step_holder(control& state, const service_spec& service) {
     move_role& role = state.m_move;
+    if (role.m_fence.m_key != role.m_lease->m_fence_key) {
+        read_fence(state, role.m_lease->m_fence_key);
+        return;
+    }
     if (!role.m_record_current) {
         read_record(state, service.m_name);
         return;
--- a/src/node/recorded.cpp
+++ b/src/node/recorded.cpp
@@ -128,6 +128,14 @@
     }
 }
 
+void handle_lease_restoration(lease_keeper& keeper, time_point now) {
+    lease_store_restored(keeper, now);
+    if (is_recording()) {
+        record_input(lease_component, "restored", now, {{"key", keeper.m_key}},
+                     action_text(keeper, lease_request::none));
+    }
+}
+
 distribution_state create_distribution(const node_settings& settings, std::uint64_t seed,
                                        time_point now) {
     if (is_recording()) {
--- a/src/node/recorded.hpp
+++ b/src/node/recorded.hpp
@@ -24,6 +24,7 @@
 lease_request next_lease_request(lease_keeper& keeper, bool wanted, time_point now);
 // Applies the reply to a store call for a lease (lease_receive).
 void apply_lease_reply(lease_keeper& keeper, const lease_reply& reply, time_point now);
+void handle_lease_restoration(lease_keeper& keeper, time_point now);
 
 // Creates the state of the configuration distribution (make_distribution).
 distribution_state create_distribution(const node_settings& settings, std::uint64_t seed,
--- a/src/node/store_roles.cpp
+++ b/src/node/store_roles.cpp
@@ -1,5 +1,7 @@
 // Store calls for the leases of a node's roles, and the reader role. Readers watch the accepted
 // state and serve as entry points.
+#include <fmt/format.h>
+
 #include "base/hash.hpp"
 #include "node/control.hpp"
 #include "node/recorded.hpp"
@@ -11,6 +13,15 @@
 // How often a node determines again whether it is a candidate for a role.
 constexpr milliseconds candidate_interval{1'000};
 
+// Returns a key that no other claim of a lease has, or nothing where the store can't write it.
+std::string make_fence_key(control& state, const lease_keeper& keeper) {
+    if (!state.m_adapter.m_store_codec.m_has_fences) {
+        return {};
+    }
+    return fmt::format("{}/{}-{:016x}", keeper.m_key, state.m_settings.m_instance,
+                       state.m_random());
+}
+
 // Applies the reply to a store call of a lease.
 void finish_lease_call(control& state, lease_role& role, const store_reply& reply) {
     role.m_call_pending = false;
@@ -205,6 +216,10 @@
 
 void run_lease(control& state, lease_role& role, bool wanted) {
     const time_point now = state.now();
+    if (role.m_era != state.m_store->era()) {
+        role.m_era = state.m_store->era();
+        handle_lease_restoration(role.m_keeper, now);
+    }
     const bool held = lease_held(role.m_keeper, now);
     if (held != role.m_logged_as_held) {
         role.m_logged_as_held = held;
@@ -224,10 +239,12 @@
     case lease_request::none:
         break;
     case lease_request::create:
+        role.m_fence_key = make_fence_key(state, keeper);
         state.m_store->create_lease(keeper.m_period, on_reply);
         break;
     case lease_request::claim:
-        state.m_store->put(keeper.m_key, lease_claim_value(keeper), 0, keeper.m_lease, on_reply);
+        state.m_store->put_fenced(keeper.m_key, lease_claim_value(keeper), 0, keeper.m_lease,
+                                  {role.m_fence_key, 0}, on_reply);
         break;
     case lease_request::renew:
         state.m_store->renew_lease(keeper.m_lease, on_reply);
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -327,7 +327,14 @@
 void store_client::put(std::string_view key, std::string_view value,
                        std::optional<std::uint64_t> if_revision, std::string_view lease,
                        store_callback done) {
+    put_fenced(key, value, if_revision, lease, {}, std::move(done));
+}
+
+void store_client::put_fenced(std::string_view key, std::string_view value,
+                              std::optional<std::uint64_t> if_revision, std::string_view lease,
+                              store_fence fence, store_callback done) {
     store_command command;
+    command.m_fence = std::move(fence);
     command.m_operation = store_operation::put;
     command.m_key = key;
     command.m_value = value;
--- a/src/store/store_client.hpp
+++ b/src/store/store_client.hpp
@@ -53,6 +53,10 @@
     // empty.
     void put(std::string_view key, std::string_view value, std::optional<std::uint64_t> if_revision,
              std::string_view lease, store_callback done);
+    // Writes like put(), and writes the fence or requires it.
+    void put_fenced(std::string_view key, std::string_view value,
+                    std::optional<std::uint64_t> if_revision, std::string_view lease,
+                    store_fence fence, store_callback done);
     // Deletes a key if its revision is if_revision; unconditionally if that is empty.
     void remove(std::string_view key, std::optional<std::uint64_t> if_revision,
                 store_callback done);
--- a/src/store/store_codec.hpp
+++ b/src/store/store_codec.hpp
@@ -66,6 +66,15 @@
 // it unknown whether a change was made.
 bool is_read(store_operation value);
 
+// A key that exists exactly as long as one claim of a lease. A write that requires it fails once
+// the claim is over, also if a restoration of the store has assigned the revision again that the
+// write requires of its own key: no other claim has a key of this name.
+struct store_fence {
+    std::string m_key;
+    // Version that the key must have; 0 to write it, under the lease of the put.
+    std::uint64_t m_version = 0;
+};
+
 // One operation with its arguments. Each member names the operations that use it.
 struct store_command {
     store_operation m_operation = store_operation::get;
@@ -74,7 +83,9 @@
     // put, remove: the operation requires that the key has this revision; 0 requires that it is
     // absent.
     std::optional<std::uint64_t> m_if_revision;
-    std::string m_lease;          // put: lease of the key; renew_lease, end_lease: lease to change
+    std::string m_lease; // put: lease of the key; renew_lease, end_lease: lease to change
+    // put: a fence, not empty only where m_has_fences is set in the codec.
+    store_fence m_fence;
     std::string m_after_key;      // list: only keys after this one
     bool m_allow_stale = false;   // list: a replica may answer with data some seconds old
     std::uint64_t m_revision = 0; // watch: changes after this store revision
@@ -103,6 +114,7 @@
     std::function<store_reply(const store_command&, const store_http_response&)> m_decode;
     // Name of the header that states the store's era. If empty, the era is always 0.
     std::string m_era_header;
+    bool m_has_fences = false; // whether the store can write two keys at once
 };
 
 // Returns the codec of the product's own store interface (docs/design.md, section 5).
--- a/src/store/store_era.cpp
+++ b/src/store/store_era.cpp
@@ -41,6 +41,10 @@
 }
 
 std::optional<store_reply> refuse_outdated(const store_command& command, std::uint64_t era) {
+    const std::uint64_t fence_version = command.m_fence.m_version;
+    if (fence_version != 0 && era_of(fence_version) != era) {
+        return failed_reply(error_kind::store_conflict, "fence of an earlier era");
+    }
     // The condition 0, which requires that the key is absent, names no revision.
     if (is_conditional_write(command) && *command.m_if_revision != 0 &&
         era_of(*command.m_if_revision) != era) {
@@ -57,6 +61,7 @@
         command.m_if_revision = revision_of(*command.m_if_revision);
     }
     command.m_revision = revision_of(command.m_revision);
+    command.m_fence.m_version = revision_of(command.m_fence.m_version);
     return command;
 }
 
--- a/src/store/store_json.cpp
+++ b/src/store/store_json.cpp
@@ -174,7 +174,7 @@
 }
 
 store_codec native_store_codec() {
-    return {encode_native, decode_native, {}};
+    return {encode_native, decode_native, {}, false};
 }
 
 std::string escape_url(std::string_view text) {
--- a/tests/integration/restored_store_test.py
+++ b/tests/integration/restored_store_test.py
@@ -1,15 +1,19 @@
 """Nodes on the platform whose store is restored from a copy: it loses the latest writes, and assigns
 their revisions again to other ones."""
 import json
+import threading
 import time
 
 from harness import run_tests, wait_until
 from platform_mesh import FIRST_ROUTES, config
+from platform_standins import ReportingServer
 from platform_test import APPLY_S, EVACUATE_S, READY_S, Platform
 
 OUTAGE_S = 0.5    # the store is unavailable before it continues from the copy
 OBSERVED_S = 2.5  # longer than a watch, so that every watching node has read the restored items
 CONTACT_S = 3     # until a joining node has received what the members know
+MOVE_S = 20       # time given to a move
+LOST_S = 10       # until what the system had written is written again; a lost lease has expired
 CALLS = 20
 
 
@@ -136,6 +140,77 @@
         return f"{len(records) - 1} records seen afterwards"
 
 
+def stored_record(store):
+    """Returns the move record that the store holds, or None."""
+    value = store.value("status/rollout/stock")
+    return json.loads(json.loads(value)["record"]) if value else None
+
+
+def test_a_running_move_goes_on():
+    """Guards against a move that stops, starts again or falls back to the stage of the copy when the
+    store is restored while it runs, and against a lease of the copy that two nodes hold."""
+    with Platform() as platform:
+        store, moved = platform.store, platform.instances[3]
+        moved.server.end()
+        moved.server = ReportingServer("stock", "south", moved.reports, version="v2",
+                                       port=moved.server.port)
+        order = json.dumps({"service": "stock", "target_version": "v2", "duration_s": MOVE_S})
+        records, restored, ended = [], False, threading.Event()
+
+        def keep_calling(instance):
+            while not ended.is_set():
+                instance.call("/stock/a")
+
+        # Every stage needs evidence, also while the store is away.
+        callers = [threading.Thread(target=keep_calling, args=(i,), daemon=True)
+                   for i in platform.instances]
+        for caller in callers:
+            caller.start()
+        begin = time.monotonic()
+        store.put("op/rollout/stock", order)
+        while not records or records[-1]["state"] == "running":
+            assert time.monotonic() < begin + MOVE_S + CONTACT_S, records[-1:]
+            time.sleep(0.02)
+            record = stored_record(store)
+            if record and (not records or record != records[-1]):
+                records.append(record)
+            if record and record["stage"] == 1 and not store.copied:
+                store.take_copy()
+            if record and record["stage"] == 3 and not restored:
+                restored = True
+                store.restore(OUTAGE_S)
+                time.sleep(1)
+                store.put("op/rollout/stock", order)
+        ended.set()
+        for caller in callers:
+            caller.join(CONTACT_S)
+        assert restored and records[-1]["state"] == "done", records[-1]
+        assert len({r["move_id"] for r in records}) == 1, "another move"
+        assert len({r["started_ms"] for r in records}) == 1, "started again"
+        # The copy's own record is seen for a moment; what the nodes write goes on.
+        written = [r for r in records if r.get("era")]
+        assert [r["stage"] for r in written] == sorted(r["stage"] for r in written), written
+        assert written[0]["stage"] >= 3, written[0]
+        return f"{len(records)} records, done after {time.monotonic() - begin:.1f} s"
+
+
+def test_a_lost_result_is_written_again():
+    """Guards against a move's result that operators no longer find."""
+    with Platform() as platform:
+        store = platform.store
+        order = json.dumps({"service": "stock", "target_version": "v2", "duration_s": 1})
+        store.put("op/rollout/stock", order)
+        store.take_copy()
+        store.copied[0].pop("status/rollout/stock", None)
+        wait_until(lambda: (stored_record(store) or {}).get("state") == "taken_back", 15, "result")
+        move_id = stored_record(store)["move_id"]
+        store.restore(OUTAGE_S)
+        wait_until(lambda: stored_record(store), LOST_S, "the result again")
+        record = stored_record(store)
+        assert (record["state"], record["move_id"]) == ("taken_back", move_id), record
+
+
 if __name__ == "__main__":
     run_tests([test_changes_after_the_copy_stay_in_force, test_a_deleted_order_stays_deleted,
-               test_a_node_that_starts_afterwards, test_a_move_written_again_continues])
+               test_a_node_that_starts_afterwards, test_a_move_written_again_continues,
+               test_a_running_move_goes_on, test_a_lost_result_is_written_again])
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -350,4 +350,107 @@
     BOOST_TEST(keeper.m_lease.empty());
 }
 
+// Two keepers of one lease at a store that is restored from a copy, each with the era it knows.
+struct restored_store_run {
+    lease_store m_store;
+    lease_store m_copy;
+    std::uint64_t m_era = 0;
+    std::vector<lease_keeper> m_keepers;
+    std::vector<std::uint64_t> m_known_era{0, 0};
+    time_point m_now{std::chrono::hours(1)};
+
+    restored_store_run() {
+        for (const char* name : {"first", "second"}) {
+            m_keepers.push_back(make_lease_keeper("key", name, period, m_keepers.size() + 1));
+        }
+    }
+
+    bool held(std::size_t index) const { return lease_held(m_keepers[index], m_now); }
+
+    // Returns whether a write that requires the fence of the keeper's claim would succeed.
+    bool may_write(std::size_t index) {
+        expire(m_store, m_now);
+        return held(index) && !m_store.m_key_lease.empty() &&
+               m_store.m_value == lease_claim_value(m_keepers[index]);
+    }
+
+    // Lets a keeper make its next request. The answer arrives at once, or not at all if the store
+    // can't be reached; with it the keeper learns the era.
+    void step(std::size_t index, bool wanted, bool reachable) {
+        lease_keeper& keeper = m_keepers[index];
+        const lease_request request = lease_tick(keeper, wanted, m_now);
+        if (request == lease_request::none) {
+            return;
+        }
+        if (!reachable) {
+            lease_reply failed;
+            failed.m_kind = error_kind::store_unreachable;
+            lease_receive(keeper, failed, m_now);
+            return;
+        }
+        const lease_reply reply =
+            handle_request(m_store, {request, keeper.m_lease, lease_claim_value(keeper)}, m_now);
+        lease_receive(keeper, reply, m_now);
+        if (m_known_era[index] != m_era) {
+            m_known_era[index] = m_era;
+            lease_store_restored(keeper, m_now);
+        }
+    }
+
+    void restore() {
+        m_store = m_copy;
+        ++m_era;
+    }
+};
+
+// Guards against two nodes that both act as the holder after the store was restored from a copy: at
+// every step, only the one whose claim the store has may write, and of the nodes that know of the
+// restoration at most one believes that it holds the lease. Guards also against a lease that nobody
+// holds afterwards, because its key is that of a lost claim or its id was assigned again.
+BOOST_AUTO_TEST_CASE(no_two_holders_act_after_a_restoration) {
+    constexpr milliseconds step{50};
+    for (int copied_step = 0; copied_step < 120; copied_step += 3) {
+        for (const int lost_steps : {1, 10, 40, 100}) {
+            for (const int cut_off : {-1, 0, 1}) { // the node that can't reach the store afterwards
+                restored_store_run run;
+                const int restored_step = copied_step + lost_steps;
+                for (int i = 0; i < restored_step + 400; ++i, run.m_now += step) {
+                    if (i == copied_step) {
+                        run.m_copy = run.m_store;
+                    }
+                    if (i == restored_step) {
+                        run.restore();
+                    }
+                    for (int index = 0; index < 2; ++index) {
+                        const bool cut = index == cut_off && i >= restored_step;
+                        // Before, the first node gives the lease up at times, so that it changes
+                        // hands.
+                        const bool wanted = index == 1 || i >= restored_step || i % 90 < 70;
+                        run.step(static_cast<std::size_t>(index), wanted, !cut);
+                    }
+                    const bool both_know = run.m_known_era[0] == run.m_known_era[1];
+                    BOOST_REQUIRE(!(run.may_write(0) && run.may_write(1)));
+                    BOOST_REQUIRE(!(both_know && run.held(0) && run.held(1)));
+                }
+                const bool again = run.may_write(0) || run.may_write(1);
+                BOOST_TEST(again, "copied " << copied_step << " lost " << lost_steps << " cut off "
+                                            << cut_off);
+            }
+        }
+    }
+}
+
+// Guards against a release, after a restoration, of a lease whose id belongs to another node by
+// now.
+BOOST_AUTO_TEST_CASE(a_lease_from_before_a_restoration_is_not_released) {
+    lease_store store;
+    time_point now{std::chrono::hours(1)};
+    lease_keeper keeper = held_keeper(store, now);
+    lease_store_restored(keeper, now);
+    BOOST_TEST(!lease_held(keeper, now));
+    for (int i = 0; i < 100; ++i, now += milliseconds(10)) {
+        BOOST_REQUIRE((lease_tick(keeper, false, now) == lease_request::none));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/peer_test.cpp
+++ b/tests/peer_test.cpp
@@ -123,6 +123,30 @@
     BOOST_TEST((received->m_records == sent.m_records));
 }
 
+// Guards against kept items that change on the way, and against a table that no node sends.
+BOOST_AUTO_TEST_CASE(kept_items_round_trip) {
+    kept_items kept{2, 0x0001000000000009, {}};
+    kept.m_items["op/a"] = {5, kept_state::continued, 7, false, std::string("a\0b", 3)};
+    kept.m_items["op/b"] = {6, kept_state::unconfirmed, 8, true, {}};
+    facts_message facts;
+    facts.m_kept_items = kept;
+    error reason;
+    const auto request = decode_request(encode_request(facts), reason);
+    BOOST_REQUIRE(request);
+    BOOST_TEST((std::get<facts_message>(*request).m_kept_items == kept));
+    join_reply joined;
+    joined.m_kept_items = kept;
+    const auto reply = decode_reply(encode_reply(joined), reason);
+    BOOST_REQUIRE(reply);
+    BOOST_TEST((std::get<join_reply>(*reply).m_kept_items == kept));
+    for (std::size_t i = 0; i <= max_kept_items; ++i) {
+        facts.m_kept_items.m_items[std::to_string(i)] = {};
+    }
+    const auto too_many = decode_request(encode_request(facts), reason);
+    BOOST_REQUIRE(too_many);
+    BOOST_TEST((std::get<facts_message>(*too_many).m_kept_items == kept_items{}));
+}
+
 // Guards against packets so large that IP fragments them.
 BOOST_AUTO_TEST_CASE(packets_stay_within_the_size_limit) {
     packet sent;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -260,4 +260,53 @@
     }
 }
 
+// Guards against a claim without its fence, and against a write of a former holder that the store
+// carries out because the revision of its condition was assigned again.
+BOOST_AUTO_TEST_CASE(a_fence_is_written_with_the_claim_and_required_later) {
+    const auto body_of = [](const store_command& command) {
+        return platform::make_store_codec().m_encode(command).m_body;
+    };
+    store_command put;
+    put.m_operation = store_operation::put;
+    put.m_key = "lease";
+    put.m_value = "a";
+    put.m_lease = "3";
+    put.m_if_revision = 0;
+    put.m_fence = {"lease/n-1", 0};
+    BOOST_TEST(body_of(put) == R"({"expect":[{"key":"lease","revision":0}],)"
+                               R"("writes":[{"key":"lease","value":"YQ==","lease":3},)"
+                               R"({"key":"lease/n-1","value":"YQ==","lease":3}],"deletes":[]})");
+    put.m_key = "record";
+    put.m_lease.clear();
+    put.m_if_revision = 7;
+    put.m_fence.m_version = 9;
+    BOOST_TEST(body_of(put) == R"({"expect":[{"key":"record","revision":7},)"
+                               R"({"key":"lease/n-1","revision":9}],)"
+                               R"("writes":[{"key":"record","value":"YQ==","lease":0}],)"
+                               R"("deletes":[]})");
+}
+
+// Guards against a configuration of the copy that counts as newer, and against an order that is
+// taken for another one because it is written in other words.
+BOOST_AUTO_TEST_CASE(items_of_a_restored_store_are_compared_by_their_meaning) {
+    const auto compare = [](std::string_view key, std::string_view kept, std::string_view listed) {
+        return platform::compare_items(key, kept, listed);
+    };
+    const std::string_view nine = R"({"version":"00000009"})";
+    const std::string_view ten = R"({"version":"0000000a"})";
+    BOOST_TEST((compare("op/config", ten, nine) == item_relation::older));
+    BOOST_TEST((compare("op/config", nine, ten) == item_relation::newer));
+    BOOST_TEST((compare("op/config", nine, nine) == item_relation::same));
+    BOOST_TEST((compare("op/config", nine, "{}") == item_relation::unordered));
+    const std::string_view order = R"({"service":"s1","target_version":"v2","duration_s":12})";
+    const std::string_view reworded =
+        R"({ "duration_s": 12.0, "target_version": "v2", "service": "s1" })";
+    const std::string_view longer = R"({"service":"s1","target_version":"v2","duration_s":13})";
+    BOOST_TEST((compare("op/rollout/s1", order, reworded) == item_relation::continues));
+    BOOST_TEST((compare("op/rollout/s1", order, longer) == item_relation::unordered));
+    BOOST_TEST((compare("op/rollout/s1", "[", "[") == item_relation::unordered));
+    BOOST_TEST((compare("op/evacuate/z2", "{}", "") == item_relation::same));
+    BOOST_TEST((compare("op/other", "a", "b") == item_relation::unordered));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
