Entry points that a restored store lacks are written again

Cause: an entry point has no lease and is written once, by a node that starts. After a restoration from a copy that lacks it nobody wrote it again, and a node that started later found fewer members or none. Change: a watching node lists the entry points once after each restoration, and writes those of its data centre that are missing and that a live member would fill.

--- a/src/decide/membership/entry_points.cpp
+++ b/src/decide/membership/entry_points.cpp
@@ -82,6 +82,20 @@
     return slots;
 }
 
+std::vector<std::string> missing_slots(const membership_table& table,
+                                       std::span<const std::string> filled) {
+    std::set<std::string> slots{slot_of(table.m_self.m_instance)};
+    for (const member* other : live_members(table)) {
+        if (other->m_data_centre == table.m_self.m_data_centre) {
+            slots.insert(slot_of(other->m_instance));
+        }
+    }
+    for (const std::string& slot : filled) {
+        slots.erase(slot);
+    }
+    return {slots.begin(), slots.end()};
+}
+
 const member& member_for_slot(const membership_table& table, std::string_view slot) {
     const member* best = &table.m_self;
     for (const member* other : live_members(table)) {
--- a/src/decide/membership/entry_points.hpp
+++ b/src/decide/membership/entry_points.hpp
@@ -42,6 +42,12 @@
 std::vector<std::string> unknown_slots(const membership_table& table,
                                        std::span<const entry_point> all);
 
+// Returns the slots of this node's data centre that live members of it, or this node, would fill
+// and that are not among the filled ones. After a restoration of the store, whose copy may lack
+// entry points, they are written again.
+std::vector<std::string> missing_slots(const membership_table& table,
+                                       std::span<const std::string> filled);
+
 // Returns the live member of this node's data centre whose address belongs in the slot. Nodes with
 // equal tables return the same member.
 const member& member_for_slot(const membership_table& table, std::string_view slot);
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -182,6 +182,9 @@
     std::vector<entry_point> m_entry_points; // from the last list of the store
     time_point m_entry_points_listed_at;
     bool m_mesh_first_start = false; // the first list was nearly empty: the whole mesh starts
+    // The store's era for which a watching member has written lost entry points again.
+    std::uint64_t m_filled_era = 0;
+    bool m_fill_missing_slots = false; // the next discovery does
     time_point m_next_discovery;       // when a watching member next looks for unknown members
     std::set<std::string> m_pending;   // formatted addresses with an outstanding join request
     time_point m_first_attempt;
--- a/src/node/join.cpp
+++ b/src/node/join.cpp
@@ -210,6 +210,38 @@
     }
 }
 
+// Writes entry points again that the store lacks after a restoration from a copy. Without them, a
+// node that starts would find only the members that joined after the copy was made, or none.
+void fill_missing_slots(control& state, std::span<const store_entry> entries) {
+    std::vector<std::string> filled;
+    for (const store_entry& entry : entries) {
+        if (auto parsed = parse_entry_point(entry);
+            parsed && parsed->m_data_centre == state.m_settings.m_data_centre) {
+            filled.push_back(std::move(parsed->m_slot));
+        }
+    }
+    for (const std::string& slot : missing_slots(state.m_members, filled)) {
+        write_entry_point(state, slot, member_for_slot(state.m_members, slot).m_bulk);
+    }
+}
+
+// Time over which the watching members of a fleet look for lost entry points after a restoration.
+// The first one of a data centre writes them, and the others find them written.
+constexpr milliseconds fill_spread{1'000};
+
+// Makes the next discovery due if the store was restored since the last one.
+void discover_after_restoration(control& state, time_point now) {
+    join_state& join = state.m_join;
+    const std::uint64_t era = state.m_store->era();
+    if (join.m_filled_era == era) {
+        return;
+    }
+    join.m_filled_era = era;
+    join.m_fill_missing_slots = true;
+    join.m_next_discovery =
+        now + milliseconds(state.m_random.below(static_cast<std::uint64_t>(fill_spread.count())));
+}
+
 // Checks the store for members that this node doesn't know, if it watches the store and the check
 // is due.
 void discover_members(control& state, time_point now) {
@@ -217,20 +249,34 @@
     if (join.m_next_discovery == time_point{}) {
         join.m_next_discovery = join.m_first_attempt + first_discovery;
     }
-    if (!state.m_operator.m_is_watcher || join.m_store_call_pending ||
-        now < join.m_next_discovery) {
+    if (!state.m_operator.m_is_watcher) {
+        return;
+    }
+    discover_after_restoration(state, now);
+    if (join.m_store_call_pending || now < join.m_next_discovery) {
         return;
     }
     join.m_next_discovery = now + discovery_interval;
     join.m_store_call_pending = true;
-    state.m_store->list_stale(entry_point_prefix, [&state](const store_reply& reply) {
+    const bool fill = std::exchange(join.m_fill_missing_slots, false);
+    const auto on_reply = [&state, fill](const store_reply& reply) {
         state.m_join.m_store_call_pending = false;
-        if (reply.m_kind == error_kind::none) {
-            update_entry_points(state, reply.m_entries);
-            ask_unknown_entry_points(state);
-            replace_unknown_entries(state);
+        if (reply.m_kind != error_kind::none) {
+            state.m_join.m_fill_missing_slots |= fill;
+            return;
         }
-    });
+        update_entry_points(state, reply.m_entries);
+        ask_unknown_entry_points(state);
+        replace_unknown_entries(state);
+        if (fill) {
+            fill_missing_slots(state, reply.m_entries);
+        }
+    };
+    if (fill) {
+        state.m_store->list(entry_point_prefix, on_reply);
+    } else {
+        state.m_store->list_stale(entry_point_prefix, on_reply);
+    }
 }
 
 // Checks the own entry point slot again and fills it if it is still free.
--- a/tests/entry_points_test.cpp
+++ b/tests/entry_points_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the selection of entry points. A slot is a stored name with the address of one node. The
 // nodes that watch the store replace the address of a lost node.
+#include <algorithm>
 #include <set>
 #include <string>
 #include <vector>
@@ -65,6 +66,20 @@
     BOOST_TEST(named.m_instance == member_for_slot(schedule.m_nodes[8].m_members, "1").m_instance);
 }
 
+// Guards against entry points that a restored store lacks and that nobody writes again, and against
+// slots that no member would fill.
+BOOST_AUTO_TEST_CASE(lost_entry_points_are_written_again) {
+    node_schedule schedule = make_schedule(16, 1, milliseconds(1), 0);
+    const membership_table& table = schedule.m_nodes[0].m_members;
+    const std::vector<std::string> all = missing_slots(table, {});
+    BOOST_REQUIRE(all.size() > 1);
+    const std::string own = slot_of(table.m_self.m_instance);
+    BOOST_TEST(std::count(all.begin(), all.end(), own) == 1);
+    BOOST_TEST(missing_slots(table, all).empty());
+    const std::vector<std::string> others(all.begin() + 1, all.end());
+    BOOST_TEST((missing_slots(table, others) == std::vector<std::string>{all.front()}));
+}
+
 // Guards against calls to the store that grow with the number of data centres, and against so few
 // watchers that the store rejects all of them.
 BOOST_AUTO_TEST_CASE(watchers_are_few_but_enough_in_total) {
--- a/tests/integration/restored_store_test.py
+++ b/tests/integration/restored_store_test.py
@@ -194,23 +194,37 @@
         return f"{len(records)} records, done after {time.monotonic() - begin:.1f} s"
 
 
-def test_a_lost_result_is_written_again():
-    """Guards against a move's result that operators no longer find."""
+def test_lost_results_and_entry_points_are_written_again():
+    """Guards against a move's result that operators no longer find, and against entry points that
+    nobody writes again: a node that starts would find no member."""
     with Platform() as platform:
-        store = platform.store
+        store, restarted = platform.store, platform.instances[0]
+        entries = {k for k in store.items if k.startswith("caraway/entry/")}
+        assert entries
         order = json.dumps({"service": "stock", "target_version": "v2", "duration_s": 1})
         store.put("op/rollout/stock", order)
         store.take_copy()
-        store.copied[0].pop("status/rollout/stock", None)
+        for key in [*entries, "status/rollout/stock"]:
+            store.copied[0].pop(key, None)
         wait_until(lambda: (stored_record(store) or {}).get("state") == "taken_back", 15, "result")
         move_id = stored_record(store)["move_id"]
         store.restore(OUTAGE_S)
         wait_until(lambda: stored_record(store), LOST_S, "the result again")
         record = stored_record(store)
         assert (record["state"], record["move_id"]) == ("taken_back", move_id), record
+        wait_until(lambda: entries <= set(store.items), LOST_S, "entry points again")
+        calls = store.calls
+        time.sleep(3)
+        idle_calls = store.calls - calls
+        restarted.node.kill()
+        restarted.node.wait(5)
+        restarted.start()
+        wait_until(restarted.ready, READY_S, "ready")
+        wait_until(lambda: restarted.call("/stock/a")[0] == 200, 5, "joined")
+        return f"{idle_calls} store calls of 4 nodes in 3 s afterwards"
 
 
 if __name__ == "__main__":
     run_tests([test_changes_after_the_copy_stay_in_force, test_a_deleted_order_stays_deleted,
                test_a_node_that_starts_afterwards, test_a_move_written_again_continues,
-               test_a_running_move_goes_on, test_a_lost_result_is_written_again])
+               test_a_running_move_goes_on, test_lost_results_and_entry_points_are_written_again])
