Tests of kept items and leases that earlier ones did not notice

Cause: trials with broken copies of the decisions showed that four rules could be removed without a failing test: an order from before the history, a deletion before the first list, the confirmation of items written again, and the new store lease after a lost claim. Change: one test for each, and a late answer to a release.

--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -451,6 +451,31 @@
     for (int i = 0; i < 100; ++i, now += milliseconds(10)) {
         BOOST_REQUIRE((lease_tick(keeper, false, now) == lease_request::none));
     }
+    // The same if a release was sent before and its answer is late.
+    keeper = held_keeper(store, now);
+    BOOST_REQUIRE((lease_tick(keeper, false, now) == lease_request::release));
+    lease_store_restored(keeper, now);
+    lease_reply late;
+    late.m_kind = error_kind::store_outcome_unknown;
+    lease_receive(keeper, late, now);
+    for (int i = 0; i < 1'500; ++i, now += milliseconds(10)) {
+        BOOST_REQUIRE((lease_tick(keeper, false, now) == lease_request::none));
+    }
+}
+
+// Guards against a claim under a store lease from before a restoration: its id may be that of
+// another node's lease, which would then keep the key alive.
+BOOST_AUTO_TEST_CASE(a_lost_claim_is_made_again_under_a_new_lease) {
+    lease_store store;
+    time_point now{std::chrono::hours(1)};
+    lease_keeper keeper = held_keeper(store, now);
+    lease_store_restored(keeper, now);
+    BOOST_REQUIRE((lease_tick(keeper, true, now) == lease_request::read_back));
+    lease_reply absent;
+    absent.m_kind = error_kind::store_not_found;
+    lease_receive(keeper, absent, now);
+    BOOST_TEST((lease_tick(keeper, true, now) == lease_request::create));
+    BOOST_TEST(keeper.m_lease.empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -290,6 +290,60 @@
     BOOST_TEST(node.m_in_force.at(order_key).m_value == order_value(8));
 }
 
+// Guards against the order of a copy that is older than all texts a node has held: it counted as a
+// new one.
+BOOST_AUTO_TEST_CASE(an_order_from_before_the_history_is_the_copys) {
+    store_model store;
+    reading_node node;
+    store.write({config_key, config_value(1)});
+    store.write({order_key, order_value(2)});
+    const store_model copy = store;
+    store.write({order_key, order_value(3)});
+    node.receive(store.read()); // it starts only now
+    store = copy;
+    store.m_era = 1;
+    node.receive(store.read());
+    BOOST_TEST(node.m_in_force.at(order_key).m_value == order_value(3));
+}
+
+// Guards against an evacuation that stays in force although the operators ended it between the
+// restoration and the first list: another item of the list shows that the copy held it.
+BOOST_AUTO_TEST_CASE(a_deletion_before_the_first_list_is_a_change) {
+    store_model store;
+    reading_node node;
+    store.write({evacuation_key, "{}"});
+    store.write({config_key, config_value(1)});
+    node.receive(store.read());
+    const store_model copy = store;
+    store.write({order_key, order_value(2)});
+    node.receive(store.read());
+    store = copy;
+    store.m_era = 1;
+    store.write({evacuation_key, {}});
+    node.receive(store.read());
+    BOOST_TEST(!node.m_in_force.contains(evacuation_key));
+    BOOST_TEST(node.m_in_force.contains(order_key));
+}
+
+// Guards against a gauge that tells operators to write again what they have written.
+BOOST_AUTO_TEST_CASE(items_written_again_are_confirmed) {
+    store_model store;
+    reading_node node;
+    store.write(schedule[0]);
+    const store_model copy = store;
+    for (std::size_t i = 1; i < 4; ++i) {
+        store.write(schedule[i]);
+        node.receive(store.read());
+    }
+    store = copy;
+    store.m_era = 1;
+    node.receive(store.read());
+    BOOST_TEST(unconfirmed_items(node.m_kept) == 3U);
+    write_again(store, 4);
+    node.receive(store.read());
+    BOOST_TEST(unconfirmed_items(node.m_kept) == 0U);
+}
+
 // Guards against tables whose merge depends on the order of arrival, and against a node that was
 // cut off before the restoration and brings back what had been deleted.
 BOOST_AUTO_TEST_CASE(kept_items_merge_in_any_order) {
