Tests of a restoration without an outage and of a node that was away

Cause: so far the stand-in ended all waiting watches at a restoration, and all nodes took part. Change: the stand-in can leave watches waiting; tests of writes right after such a restoration, and of a node that was paused before it and holds an evacuation that was ended meanwhile.

--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -70,6 +70,7 @@
         self.waiting_watches = set()  # their connections
         self.era = 0  # number of restorations; answers name it after the first one
         self.copied = None  # what a restoration brings back
+        self.end_watches = True  # whether a restoration ends waiting watches
         self.hidden_key_parts = ()  # lists omit keys that contain one of these parts
         self.changed = threading.Condition()
         store = self
@@ -120,10 +121,12 @@
         with self.changed:
             self.copied = copy.deepcopy((self.items, self.leases, self.revision))
 
-    def restore(self, outage_s=0):
-        """Is unavailable for a time, then continues from the copy in a new era."""
+    def restore(self, outage_s=0, end_watches=True):
+        """Is unavailable for a time, then continues from the copy in a new era. Unless end_watches
+        is set, watches that wait are answered only when their time is over or an event ends it."""
         with self.changed:
-            self.down = True
+            self.end_watches = end_watches
+            self.down = outage_s > 0
             self.changed.notify_all()
         time.sleep(outage_s)
         with self.changed:
@@ -189,10 +192,11 @@
                 return [e for e in self.events
                         if e["revision"] > int(query["after"]) and e["key"].startswith(prefix)]
             self.waiting_watches.add(handler.connection)
-            self.changed.wait_for(lambda: pending_events() or self.down or era != self.era,
+            self.changed.wait_for(lambda: pending_events() or self.down or
+                                  (era != self.era and self.end_watches),
                                   int(query["wait_ms"]) / 1000)
             self.waiting_watches.discard(handler.connection)
-            if era != self.era:
+            if era != self.era and self.end_watches:
                 return handler.reply(410)
             answer = {"events": pending_events(), "current_rev": self.revision}
         if self.silent:
--- a/tests/integration/restored_store_test.py
+++ b/tests/integration/restored_store_test.py
@@ -72,6 +72,29 @@
         return f"applied in {delay_s:.2f} s"
 
 
+def test_writes_right_after_the_restoration():
+    """Guards against writes that are lost to nodes whose watches go on over the restoration: they
+    wait for revisions that had been assigned before, and get no event of these writes."""
+    with Platform() as platform:
+        store = platform.store
+        for repetition in range(3):
+            store.take_copy()
+            for number in range(3):
+                store.put("op/evacuate/east", str(number))
+            old = FIRST_ROUTES if repetition % 2 else FIRST_ROUTES[:2]
+            lost_revision = store.put("op/config", config(9 + 4 * repetition, old))
+            status = 200 if repetition % 2 else 404
+            wait_until(lambda: all(i.call("/both/a")[0] == status for i in platform.instances),
+                       APPLY_S, "in force")
+            time.sleep(0.5 * repetition)
+            store.restore(0, end_watches=False)
+            new = FIRST_ROUTES[:2] if repetition % 2 else FIRST_ROUTES
+            assert store.put("op/config", config(10 + 4 * repetition, new)) < lost_revision
+            status = 404 if repetition % 2 else 200
+            wait_until(lambda: all(i.call("/both/a")[0] == status for i in platform.instances),
+                       APPLY_S, "in force after the restoration")
+
+
 def test_a_deleted_order_stays_deleted():
     """Guards against an evacuation that the copy still holds and that its deletion had ended: its
     data centre would get no calls."""
@@ -111,6 +134,32 @@
         check_in_force(platform, restarted, runs_before)
 
 
+def test_a_node_that_was_away():
+    """Guards against a node that was paused before the restoration and brings back an evacuation
+    that had been ended meanwhile, for itself or for all."""
+    with Platform() as platform:
+        store, paused = platform.store, platform.instances[0]
+        store.put("op/evacuate/north", "{}")
+        time.sleep(EVACUATE_S)
+        paused.node.pause()
+        store.delete("op/evacuate/north")
+        store.take_copy()
+        store.put("op/config", config(9, FIRST_ROUTES[:2]))
+        others = platform.instances[1:]
+        wait_until(lambda: all(i.call("/both/a")[0] == 404 for i in others), APPLY_S, "in force")
+        store.restore(OUTAGE_S)
+        time.sleep(OBSERVED_S)
+        paused.node.resume()
+        time.sleep(CONTACT_S)
+        for instance in platform.instances:
+            runs_before = runs_in_north(platform)
+            for _ in range(CALLS):
+                assert instance.call("/stock/a")[0] == 200
+            assert instance.call("/both/a")[0] == 404, "the configuration of the copy is in force"
+            if instance.data_centre == "north":
+                assert runs_in_north(platform) > runs_before, "evacuated again"
+
+
 def test_a_move_written_again_continues():
     """Guards against a move that starts again because its order, which the copy lacks, was written
     again with another revision: a version that was taken back would get calls again."""
@@ -225,6 +274,8 @@
 
 
 if __name__ == "__main__":
-    run_tests([test_changes_after_the_copy_stay_in_force, test_a_deleted_order_stays_deleted,
-               test_a_node_that_starts_afterwards, test_a_move_written_again_continues,
+    run_tests([test_changes_after_the_copy_stay_in_force,
+               test_writes_right_after_the_restoration, test_a_deleted_order_stays_deleted,
+               test_a_node_that_starts_afterwards, test_a_node_that_was_away,
+               test_a_move_written_again_continues,
                test_a_running_move_goes_on, test_lost_results_and_entry_points_are_written_again])
