A replaced configuration that is written again after a restoration is not in force

Cause: operators write again what they wrote, maybe replaced configurations too. Where the copy held the later one nothing was kept, so the older one came into force for a while. Change: from era 1 on, an item in force of which a text has an older value is kept like one that the copy lacks. The libFuzzer target links the conversion of kept items.

--- a/Makefile
+++ b/Makefile
@@ -112,8 +112,8 @@
 # environment variable FUZZ_TARGET names.
 LIBFUZZER_SRC := $(wildcard src/base/*.cpp src/config/*.cpp src/decide/*/*.cpp) src/ctl/audit.cpp \
                  src/ctl/records.cpp src/observe/log.cpp src/observe/span.cpp src/peer/wire.cpp \
-                 src/store/store_json.cpp src/traffic/http_message.cpp tests/fuzz/targets.cpp \
-                 tests/fuzz/libfuzzer_main.cpp
+                 src/peer/kept_items_wire.cpp src/store/store_json.cpp \
+                 src/traffic/http_message.cpp tests/fuzz/targets.cpp tests/fuzz/libfuzzer_main.cpp
 libfuzzer:
 	$(MAKE) BUILD=build-libfuzzer CXX=clang++ build-libfuzzer/bin/libfuzzer \
 	  CXXFLAGS="-O1 -g1 -std=c++20 -fsanitize=fuzzer-no-link,address,undefined"
--- a/src/decide/configuration/kept_items.cpp
+++ b/src/decide/configuration/kept_items.cpp
@@ -134,6 +134,29 @@
     kept.m_listed_version = listed->m_revision;
 }
 
+// Keeps the items in force of which the text has an older value, and returns whether there are any.
+// After a restoration, operators may write again what had been replaced.
+bool keep_newer_items(const std::vector<store_entry>& in_force, const item_list& text,
+                      const item_comparison& compare, kept_items& kept) {
+    bool changed = false;
+    for (const store_entry& item : in_force) {
+        const store_entry* listed = find_item(text.m_items, item.m_key);
+        const auto known = kept.m_items.find(item.m_key);
+        const bool is_kept =
+            known != kept.m_items.end() && known->second.m_state != kept_state::superseded;
+        if (listed == nullptr || is_kept || listed->m_revision == item.m_revision ||
+            (known == kept.m_items.end() && kept.m_items.size() >= max_kept_items) ||
+            compare(item.m_key, item.m_value, listed->m_value) != item_relation::older) {
+            continue;
+        }
+        kept.m_era = era_of(text.m_version);
+        kept.m_items[item.m_key] = {item.m_revision, kept_state::unconfirmed, listed->m_revision,
+                                    false, item.m_value};
+        changed = true;
+    }
+    return changed;
+}
+
 // Order of what two nodes know about the same kept item.
 auto knowledge_order(const kept_item& value) {
     return std::tie(value.m_version, value.m_state, value.m_listed_version, value.m_deleted,
@@ -182,10 +205,17 @@
 
 bool advance_kept_items(kept_items& kept, std::span<const item_list> history, const item_list& text,
                         const item_comparison& compare) {
-    const bool is_first =
-        !history.empty() && era_of(text.m_version) > era_of(history.back().m_version);
-    const bool made = is_first && merge_kept_items(kept, keep_items(history, kept, text, compare));
-    return update_kept_items(kept, text, compare) || made;
+    const std::uint64_t era = era_of(text.m_version);
+    if (era == 0 || history.empty() || text.m_version <= history.back().m_version) {
+        return update_kept_items(kept, text, compare);
+    }
+    if (era > era_of(history.back().m_version)) {
+        const bool made = merge_kept_items(kept, keep_items(history, kept, text, compare));
+        return update_kept_items(kept, text, compare) || made;
+    }
+    const std::vector<store_entry> in_force = items_in_force(history.back(), kept);
+    const bool updated = update_kept_items(kept, text, compare);
+    return keep_newer_items(in_force, text, compare, kept) || updated;
 }
 
 bool merge_kept_items(kept_items& kept, const kept_items& other) {
--- a/src/decide/configuration/kept_items.hpp
+++ b/src/decide/configuration/kept_items.hpp
@@ -79,8 +79,10 @@
 // Updates the table by a text of its era, and returns whether the table changed.
 bool update_kept_items(kept_items& kept, const item_list& text, const item_comparison& compare);
 
-// Handles a text before it is parsed: makes the table if the text is the first one of an era here,
-// updates it otherwise, and returns whether it changed. history is as for keep_items.
+// Handles a text before it is parsed, and returns whether the table changed. Makes the table if the
+// text is the first one of an era here; history is then as for keep_items. Otherwise updates it,
+// and from era 1 on adds items in force, those of the last text of the history, of which the text
+// has an older value.
 bool advance_kept_items(kept_items& kept, std::span<const item_list> history, const item_list& text,
                         const item_comparison& compare);
 
--- a/src/node/restored_items.cpp
+++ b/src/node/restored_items.cpp
@@ -8,12 +8,21 @@
 namespace caraway {
 namespace {
 
-// Returns the texts of the era in force that are held here, the one in force last.
-std::vector<item_list> held_item_lists(const control& state) {
+// Returns what the handling of a text needs of the texts held here: for the first text of an era
+// all those of the era in force, the one in force last; for others, from era 1 on, the one in
+// force.
+std::vector<item_list> relevant_item_lists(const control& state, std::uint64_t next_version) {
     std::vector<item_list> out;
     const distribution_state& distribution = state.m_distribution;
+    const std::uint64_t applied = distribution.m_applied;
+    const bool is_first = era_of(next_version) > era_of(applied);
+    if (era_of(next_version) == 0) {
+        return out;
+    }
     for (const auto& [version, text] : distribution.m_texts) {
-        if (version > distribution.m_applied || era_of(version) != era_of(distribution.m_applied)) {
+        const bool same_era = version <= applied && era_of(version) == era_of(applied);
+        const bool relevant = is_first ? same_era : version == applied;
+        if (!relevant) {
             continue;
         }
         if (auto items = decode_items(*text.m_text)) {
@@ -43,9 +52,7 @@
 std::vector<store_entry> resolve_items(control& state, std::uint64_t version,
                                        std::vector<store_entry> items) {
     const item_list text{version, std::move(items)};
-    const bool is_first = era_of(version) > era_of(state.m_distribution.m_applied);
-    const std::vector<item_list> history =
-        is_first ? held_item_lists(state) : std::vector<item_list>{};
+    const std::vector<item_list> history = relevant_item_lists(state, version);
     const bool changed =
         advance_kept_items(state.m_kept_items, history, text, state.m_adapter.m_compare_items);
     if (changed) {
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -325,6 +325,41 @@
     BOOST_TEST(node.m_in_force.contains(order_key));
 }
 
+// Guards against a configuration that operators write again though it had been replaced, when the
+// copy held the later one.
+BOOST_AUTO_TEST_CASE(a_replaced_configuration_written_again_is_not_in_force) {
+    store_model store;
+    reading_node node;
+    for (unsigned version = 1; version <= 4; ++version) {
+        store.write({config_key, config_value(version)});
+        node.receive(store.read());
+    }
+    const store_model copy = store;
+    store.write({order_key, order_value(2)});
+    node.receive(store.read());
+    store = copy;
+    store.m_era = 1;
+    reading_node started; // it knows only the new era
+    started.receive(store.read());
+    node.receive(store.read());
+    for (unsigned version = 2; version <= 4; ++version) {
+        store.write({config_key, config_value(version)});
+        for (reading_node* reader : {&node, &started}) {
+            reader->receive(store.read());
+            BOOST_TEST(reader->m_in_force.at(config_key).m_value == config_value(4));
+        }
+        node.merge(started.m_kept);
+        started.merge(node.m_kept);
+    }
+    BOOST_TEST(started.m_in_force.contains(order_key));
+    store.write({config_key, config_value(5)});
+    store.write({order_key, order_value(3)});
+    for (reading_node* reader : {&node, &started}) {
+        reader->receive(store.read());
+        BOOST_TEST((values(reader->m_in_force) == values(store.m_items)));
+    }
+}
+
 // Guards against a gauge that tells operators to write again what they have written.
 BOOST_AUTO_TEST_CASE(items_written_again_are_confirmed) {
     store_model store;
