--- a/src/decide/traffic/onward_calls.hpp
+++ b/src/decide/traffic/onward_calls.hpp
@@ -19,6 +19,8 @@
 struct call_terms {
     urgency m_urgency = urgency::normal;
     std::uint32_t m_hop = 0; // depth in the chain of calls
+    // The call, or one that it serves, had already reached a server in an earlier attempt.
+    bool m_repeated = false;
 };
 
 // Waits for capacity that a call has had, including those of the onward calls made for it.
--- a/src/decide/traffic/retry.cpp
+++ b/src/decide/traffic/retry.cpp
@@ -30,6 +30,11 @@
     budget.m_tokens = std::min(budget.m_max_tokens, budget.m_tokens + budget.m_tokens_per_call);
 }
 
+// Bounded below, so that one overload doesn't prevent retries long after its end.
+void budget_charge(retry_budget& budget) {
+    budget.m_tokens = std::max(-budget.m_max_tokens, budget.m_tokens - 1);
+}
+
 // The budget is checked last, so that a call that may not be retried for another reason takes no
 // token.
 bool may_retry(const attempt& failed, retry_budget& budget, time_point now) {
--- a/src/decide/traffic/retry.hpp
+++ b/src/decide/traffic/retry.hpp
@@ -26,6 +26,10 @@
 // Adds the token share of one first attempt.
 void budget_deposit(retry_budget& budget);
 
+// Takes a token for an onward call of a repeated call, which adds an arrival at the service as a
+// retry does. It is not refused without one; the retries of the service pay for it later.
+void budget_charge(retry_budget& budget);
+
 // Default limit on retries of one call that reached a backend server, for routes that set no other.
 constexpr std::uint32_t max_retries = 1;
 // Limit on retries after nodes refused the call before it reached their backend servers.
--- a/src/traffic/backend_side.cpp
+++ b/src/traffic/backend_side.cpp
@@ -231,7 +231,7 @@
         if (!m_number.empty()) {
             const std::lock_guard lock(m_context.m_served_mutex);
             m_context.m_served_calls.insert_or_assign(
-                m_number, served_call{{info.m_urgency, info.m_hop}, {}});
+                m_number, served_call{{info.m_urgency, info.m_hop, info.m_repeated}, {}});
         }
     }
     served_call_guard(const served_call_guard&) = delete;
@@ -501,6 +501,7 @@
     info.m_first_sent_ms = numeric_header_value(request, header::first_sent);
     info.m_hop = static_cast<std::uint32_t>(std::min<std::uint64_t>(
         numeric_header_value(request, header::hop).value_or(1), max_hops + 1));
+    info.m_repeated = request.find(std::string(header::repeated)) != request.end();
     // Keeps the sender's span as the current one. run_backend_call makes it the parent of this
     // node's span.
     info.m_trace = continue_trace(header_value(request, header::traceparent), control.random());
--- a/src/traffic/entry_side.cpp
+++ b/src/traffic/entry_side.cpp
@@ -295,6 +295,9 @@
     set_numeric_header(request, header::config_version, call.m_snapshot->m_config_version);
     set_numeric_header(request, header::deadline_ms, allowed);
     set_numeric_header(request, header::hop, info.m_hop);
+    if (info.m_repeated) {
+        set_header(request, header::repeated, "1");
+    }
     if (info.m_urgency_inherited) {
         set_numeric_header(request, header::urgency, static_cast<std::uint64_t>(info.m_urgency));
     }
@@ -423,7 +426,11 @@
         entry->second.m_budget = make_retry_budget(context.m_settings.m_retry_budget_percent,
                                                    context.m_settings.m_retry_burst);
     }
-    budget_deposit(entry->second.m_budget);
+    if (call.m_info.m_repeated) {
+        budget_charge(entry->second.m_budget);
+    } else {
+        budget_deposit(entry->second.m_budget);
+    }
     if (context.m_settings.m_choose_by_expected_time) {
         call.m_references = &entry->second.m_references;
         call.m_usual_run = find_reference(*call.m_references, call.m_info.m_route);
@@ -463,6 +470,7 @@
         call_reply reply = attempt_call(context, control, call, backend, request, yield);
         const error_kind failure = retry_reason(call, reply);
         ++(reached_server(reply.m_reason) ? call.m_server_attempts : call.m_refused_attempts);
+        call.m_info.m_repeated = call.m_info.m_repeated || call.m_server_attempts > 0;
         // A refusal of a later attempt does not change that an earlier attempt may have run.
         const bool may_have_run = last && reached_server(last->m_reason) &&
                                   last->m_reason != error_kind::backend_shed &&
@@ -550,6 +558,7 @@
     call.m_info.m_urgency = terms->m_urgency;
     call.m_info.m_urgency_inherited = true;
     call.m_info.m_hop = std::max(call.m_info.m_hop, terms->m_hop);
+    call.m_info.m_repeated = terms->m_repeated;
     return true;
 }
 
--- a/src/traffic/http_message.hpp
+++ b/src/traffic/http_message.hpp
@@ -30,6 +30,8 @@
 // Milliseconds until an answer loses most of its value to the caller.
 constexpr std::string_view useful_ms = "x-caraway-useful-ms";
 constexpr std::string_view hop = "x-caraway-hop";
+// Present if the call, or one that it serves, reached a server in an earlier attempt.
+constexpr std::string_view repeated = "x-caraway-repeated";
 // Urgency that an onward call has inherited, as the number of the level.
 constexpr std::string_view urgency = "x-caraway-urgency";
 constexpr std::string_view first_sent = "x-caraway-first-sent";
--- a/src/traffic/traffic_context.hpp
+++ b/src/traffic/traffic_context.hpp
@@ -143,6 +143,7 @@
     std::string m_request_number;
     std::uint32_t m_hop = 0;          // depth in the chain of calls; 1 for a call from a caller
     bool m_urgency_inherited = false; // m_urgency comes from the call that this one serves
+    bool m_repeated = false;          // see call_terms
     trace_context m_trace;
 };
 
--- a/tests/retry_balance_test.cpp
+++ b/tests/retry_balance_test.cpp
@@ -336,4 +336,23 @@
     BOOST_TEST(retries >= 0.1 * nodes * calls);
 }
 
+// Guards against retries that exceed the budget of a service because repeated calls of another
+// service call it again.
+BOOST_AUTO_TEST_CASE(onward_calls_of_repeated_calls_use_the_budget) {
+    retry_budget budget = make_retry_budget(10, 2);
+    for (int i = 0; i < 100; ++i) {
+        budget_charge(budget);
+    }
+    attempt failed;
+    failed.m_failure = error_kind::connection_cut;
+    failed.m_idempotent = true;
+    failed.m_deadline = time_point(std::chrono::seconds(10));
+    BOOST_TEST(!may_retry(failed, budget, time_point{}));
+    // The debt is bounded: 40 calls pay it back and allow a retry.
+    for (int i = 0; i < 41; ++i) {
+        budget_deposit(budget);
+    }
+    BOOST_TEST(may_retry(failed, budget, time_point{}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
