--- a/src/decide/traffic/retry.cpp
+++ b/src/decide/traffic/retry.cpp
@@ -7,6 +7,9 @@
 
 // Maximum number of tokens of a budget, as a multiple of the initial burst.
 constexpr double max_saved_bursts = 1.5;
+// Lowest number of tokens of a budget, as a multiple of the maximum. Bounded so that one overload
+// doesn't prevent retries long after its end.
+constexpr double max_debt_factor = 10;
 
 // Returns true for failures after which an idempotent call may be resent although it may have run.
 // Other failures with unknown outcome would recur (answer too large) or leave no time (deadline,
@@ -30,9 +33,8 @@
     budget.m_tokens = std::min(budget.m_max_tokens, budget.m_tokens + budget.m_tokens_per_call);
 }
 
-// Bounded below, so that one overload doesn't prevent retries long after its end.
 void budget_charge(retry_budget& budget) {
-    budget.m_tokens = std::max(-budget.m_max_tokens, budget.m_tokens - 1);
+    budget.m_tokens = std::max(-max_debt_factor * budget.m_max_tokens, budget.m_tokens - 1);
 }
 
 // The budget is checked last, so that a call that may not be retried for another reason takes no
