--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -176,6 +176,7 @@
 // replaced, and a further one is closed at once.
 BOOST_AUTO_TEST_CASE(connections_with_a_request_are_not_replaced) {
     std::vector<tcp::socket> waiting;
+    waiting.reserve(16);
     for (int i = 0; i < 16; ++i) {
         waiting.push_back(send("GET /never HTTP/1.1\r\n\r\n"));
     }
--- a/tests/held_bytes_test.cpp
+++ b/tests/held_bytes_test.cpp
@@ -28,6 +28,7 @@
 // stop before their end, and against the rejection of requests that still fit.
 BOOST_AUTO_TEST_CASE(stalled_bodies_are_rejected_until_the_rest_fits) {
     std::vector<bytes_holder> holders;
+    holders.reserve(40);
     for (int i = 0; i < 40; ++i) {
         holders.push_back(holder(12 * mb, milliseconds(100 + i), static_cast<std::uint64_t>(i)));
     }
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -457,6 +457,7 @@
     caller used(backend_node);
     BOOST_TEST(used.call("/once/echo", "a").body() == "a");
     std::vector<std::unique_ptr<caller>> silent_callers;
+    silent_callers.reserve(10);
     for (int i = 0; i < 10; ++i) {
         silent_callers.push_back(std::make_unique<caller>(backend_node));
     }
