--- a/src/decide/traffic/admission.cpp
+++ b/src/decide/traffic/admission.cpp
@@ -56,11 +56,6 @@
 constexpr double min_wait_correction = 0.25;
 constexpr double max_wait_correction = 4;
 constexpr milliseconds min_compared_wait{5};
-// Part of its useful time that a more urgent call may wait before background calls lose slots, the
-// factor by which their slots fall then, and the time in which all slots are given back.
-constexpr double tolerated_wait_part = 0.25;
-constexpr double background_fall = 0.9;
-constexpr std::chrono::duration<double> background_rise_time{2.0};
 // Upper bound of the reported load; beyond it, more queued calls make no difference to the callers'
 // choice.
 constexpr std::uint64_t max_load_permille = 10'000;
@@ -81,22 +76,13 @@
     return now < state.m_limits.m_cold_until && state.m_limits.m_cold_calls_per_second > 0;
 }
 
-// Returns the slots that background calls may use at this time, which rise with time.
-double background_limit(const admission_state& state, time_point now) {
-    const std::chrono::duration<double> elapsed = now - state.m_background_updated;
-    const double slots = concurrency_limit(state);
-    return std::min(slots, state.m_background_limit + slots * (elapsed / background_rise_time));
-}
-
-// Takes slots from background calls if a more urgent call that starts has waited long.
-void update_background_limit(admission_state& state, const queued_call& call, time_point now) {
-    const duration useful_time = call.m_useful_until - call.m_queued_at;
-    if (call.m_urgency == urgency::background || call.m_useful_until == time_point{} ||
-        now - call.m_queued_at <= tolerated_wait_part * useful_time) {
-        return;
+// Records the wait of a call that starts, unless it is a background call or its useful time is
+// unknown.
+void record_wait(admission_state& state, const queued_call& call, time_point now) {
+    if (call.m_urgency != urgency::background && call.m_useful_until != time_point{}) {
+        record_urgent_wait(state.m_background, concurrency_limit(state), now - call.m_queued_at,
+                           call.m_useful_until - call.m_queued_at, now);
     }
-    state.m_background_limit = std::max(1.0, background_fall * background_limit(state, now));
-    state.m_background_updated = now;
 }
 
 // Returns true if one more call may start now. During a reported warm-up, the calls started in any
@@ -106,7 +92,7 @@
         return false;
     }
     if (level == urgency::background &&
-        state.m_background_running >= background_slots(state, now)) {
+        state.m_background.m_running >= admission_background_slots(state, now)) {
         return false;
     }
     if (!reports_cold(state, now)) {
@@ -123,7 +109,7 @@
 // Counts a call as started.
 void start_call(admission_state& state, urgency level, time_point now) {
     ++state.m_running;
-    state.m_background_running += level == urgency::background ? 1 : 0;
+    state.m_background.m_running += level == urgency::background ? 1 : 0;
     if (reports_cold(state, now)) {
         state.m_cold_call_starts.push_back(now);
     }
@@ -319,7 +305,7 @@
            can_start_call(state, state.m_queue[released_count].m_urgency, now)) {
         const queued_call& call = state.m_queue[released_count];
         update_wait_correction(state, call, now);
-        update_background_limit(state, call, now);
+        record_wait(state, call, now);
         release.m_run.push_back(call.m_id);
         start_call(state, call.m_urgency, now);
         ++released_count;
@@ -416,7 +402,7 @@
     const bool in_use = state.m_running >= concurrency_limit(state);
     state.m_running -= state.m_running > 0 ? 1 : 0;
     const bool background = sample.m_urgency == urgency::background;
-    state.m_background_running -= background && state.m_background_running > 0 ? 1 : 0;
+    state.m_background.m_running -= background && state.m_background.m_running > 0 ? 1 : 0;
     if (sample.m_cancelled) {
         return release_waiting(state, now);
     }
@@ -484,8 +470,8 @@
             static_cast<std::uint32_t>(1000 * state.m_failure_share), state.m_smoothed_latency};
 }
 
-std::uint32_t background_slots(const admission_state& state, time_point now) {
-    return static_cast<std::uint32_t>(std::max(1.0, background_limit(state, now)));
+std::uint32_t admission_background_slots(const admission_state& state, time_point now) {
+    return background_slots(state.m_background, concurrency_limit(state), now);
 }
 
 std::uint32_t admission_load_bound(const admission_state& state) {
--- a/src/decide/traffic/admission.hpp
+++ b/src/decide/traffic/admission.hpp
@@ -5,7 +5,6 @@
 #include <array>
 #include <cstdint>
 #include <deque>
-#include <limits>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,6 +12,7 @@
 #include "base/clock.hpp"
 #include "base/error.hpp"
 #include "config/mesh.hpp"
+#include "decide/traffic/background_share.hpp"
 #include "decide/traffic/route_latency.hpp"
 
 namespace caraway {
@@ -79,11 +79,7 @@
     time_point m_limit_dropped_at; // answers to calls that started earlier are ignored
     std::vector<queued_call> m_queue;
     std::uint64_t m_next_order = 0;
-    // Slots that background calls may use; see background_slots. Infinite until a more urgent call
-    // has waited long.
-    double m_background_limit = std::numeric_limits<double>::infinity();
-    time_point m_background_updated; // when m_background_limit last changed
-    std::uint32_t m_background_running = 0;
+    background_share m_background;
     // Start times of the calls of the last second during a reported warm-up.
     std::deque<time_point> m_cold_call_starts;
     bool m_draining = false;
@@ -174,11 +170,8 @@
 // or at least the slots if the server is warm.
 std::uint32_t admission_load_bound(const admission_state& state);
 
-// Returns the number of slots that background calls may use. It falls with each more urgent call
-// that waited for a quarter of its useful time, and rises again within seconds; one slot stays.
-// Precedence in the queue alone doesn't protect more urgent calls near the capacity: a background
-// call that found the queue empty for a moment holds its slot until it ends.
-std::uint32_t background_slots(const admission_state& state, time_point now);
+// Returns the number of slots that background calls may use now.
+std::uint32_t admission_background_slots(const admission_state& state, time_point now);
 
 // Returns the load that answers report to callers: running and queued calls divided by the
 // concurrency limit, or by the slots if the server is warm. 1000 means all slots are busy, more
--- a/src/decide/traffic/route_throttle.hpp
+++ b/src/decide/traffic/route_throttle.hpp
@@ -28,7 +28,7 @@
     time_point m_began;
     time_point m_useful_until; // time_point{} if unknown
     duration m_waited{};       // for capacity, including onward calls
-    bool m_refused = false;    // the call or an onward call was refused for lack of capacity
+    bool m_refused = false;    // an onward call was refused for lack of capacity
 };
 
 // Returns whether a call may be let in. While the share is below 1, calls whose answer can no
@@ -41,8 +41,8 @@
 // while there are few of them.
 void record_answer(route_throttle& throttle, const throttle_sample& sample, time_point now);
 
-// Returns whether the call was refused for lack of capacity, or answered too late although it would
-// have been in time without its waits.
+// Returns whether an onward call was refused for lack of capacity, or the call answered too late
+// although it would have been in time without its waits.
 bool shows_overload(const throttle_sample& sample, time_point answered);
 
 } // namespace caraway
--- a/src/traffic/admission_gate.cpp
+++ b/src/traffic/admission_gate.cpp
@@ -186,7 +186,7 @@
     const std::lock_guard lock(m_mutex);
     return {m_state.m_running, static_cast<std::uint32_t>(m_state.m_queue.size()),
             static_cast<std::uint32_t>(m_state.m_cold_limit),
-            background_slots(m_state, m_clock.now())};
+            admission_background_slots(m_state, m_clock.now())};
 }
 
 void admission_gate::set_verdict(std::uint64_t call, verdict value) {
--- a/src/traffic/admission_gate.hpp
+++ b/src/traffic/admission_gate.hpp
@@ -66,7 +66,7 @@
         std::uint32_t m_running = 0;
         std::uint32_t m_waiting = 0;
         std::uint32_t m_limit = 0;
-        std::uint32_t m_background_slots = 0; // see background_slots
+        std::uint32_t m_background_slots = 0; // see admission_background_slots
     };
     load_counts current_load() const;
 
--- a/src/traffic/entry_side.cpp
+++ b/src/traffic/entry_side.cpp
@@ -4,11 +4,11 @@
 #include <array>
 
 #include "config/mesh.hpp"
-#include "decide/traffic/balance.hpp"
 #include "decide/traffic/pushback.hpp"
-#include "observe/log.hpp"
+#include "traffic/backend_choice.hpp"
 #include "traffic/backend_side.hpp"
 #include "traffic/known_speed.hpp"
+#include "traffic/overload_control.hpp"
 
 namespace caraway {
 namespace {
@@ -23,185 +23,10 @@
 // Remaining time assumed for a caller whose call was refused before its deadline was set.
 constexpr milliseconds default_remaining_time{1'000};
 
-// Number of routes, over all configurations since the start, for which the deadlines of callers are
-// recorded.
-constexpr std::size_t max_tracked_routes = 10'000;
-
-// Upper bound for latencies and waiting times reported by other nodes; larger values are clamped.
-constexpr std::uint64_t max_latency_us = 3'600'000'000;
-
-// State of one call at the entry side, over all of its attempts.
-struct entry_call {
-    call_info m_info;
-    std::shared_ptr<const routing_snapshot> m_snapshot;
-    const service_view* m_service = nullptr;
-    const route_spec* m_route = nullptr;
-    bool m_serves_another = false; // made by the own backend server while it works on a call
-    std::vector<bool> m_tried;
-    std::uint32_t m_attempts = 0;
-    std::uint32_t m_server_attempts = 0;  // attempts that reached a backend server
-    std::uint32_t m_refused_attempts = 0; // attempts refused before they reached a backend server
-    // Run times of the service's routes, protected by m_entry_mutex; null if the backend server is
-    // not chosen by the expected time until the answer. Entries are never removed.
-    route_references* m_references = nullptr;
-    duration m_usual_run{}; // of this call's route; 0 if unknown
-};
-
 std::string_view target_of(const http_request& request) {
     return {request.target().data(), request.target().size()};
 }
 
-time_point time_point_from_us(std::int64_t us) {
-    return time_point(std::chrono::duration_cast<duration>(std::chrono::microseconds(us)));
-}
-
-circuit_breaker load_breaker(const backend_counters& counters) {
-    circuit_breaker breaker;
-    breaker.m_failures = counters.m_failures.load(std::memory_order_relaxed);
-    breaker.m_open_until =
-        time_point_from_us(counters.m_circuit_open_until_us.load(std::memory_order_relaxed));
-    return breaker;
-}
-
-void store_breaker(backend_counters& counters, const circuit_breaker& breaker) {
-    counters.m_failures.store(breaker.m_failures, std::memory_order_relaxed);
-    counters.m_circuit_open_until_us.store(to_us(breaker.m_open_until.time_since_epoch()),
-                                           std::memory_order_relaxed);
-}
-
-// Records the result of an attempt in the circuit breaker. A refusal counts as a success, since it
-// shows that the node is reachable. connect_failed opens the breaker at once if the call went to
-// another node, since that node or its backend server can't be connected to; for the own backend
-// server it counts as one failure.
-void update_breaker(backend_counters& counters, error_kind reason, bool own_server,
-                    time_point now) {
-    if (reason == error_kind::cancelled_before_send || reason == error_kind::cancelled_after_send) {
-        return; // does not indicate the state of the backend server
-    }
-    circuit_breaker breaker = load_breaker(counters);
-    if (reason == error_kind::connect_failed && !own_server) {
-        breaker_record_unreachable(breaker, now);
-    } else if (reason == error_kind::connect_failed || reason == error_kind::connection_cut ||
-               reason == error_kind::answer_invalid || reason == error_kind::deadline_after_send) {
-        breaker_record_failure(breaker, now);
-    } else if (breaker.m_failures == 0) {
-        return;
-    } else {
-        breaker_record_success(breaker);
-    }
-    store_breaker(counters, breaker);
-}
-
-refusal_state read_refusal_state(const backend_counters& counters) {
-    refusal_state refusals;
-    for (std::size_t i = 0; i < urgency_levels; ++i) {
-        refusals.m_until[i] =
-            time_point_from_us(counters.m_refuses_until_us[i].load(std::memory_order_relaxed));
-    }
-    return refusals;
-}
-
-void store_refusals(backend_counters& counters, const refusal_state& refusals) {
-    for (std::size_t i = 0; i < urgency_levels; ++i) {
-        counters.m_refuses_until_us[i].store(to_us(refusals.m_until[i].time_since_epoch()),
-                                             std::memory_order_relaxed);
-    }
-}
-
-// Records whether the backend server had capacity for the call.
-void update_refusals(backend_counters& counters, const call_info& info, const call_reply& reply,
-                     time_point now) {
-    refusal_state refusals = read_refusal_state(counters);
-    if (is_overload_refusal(reply.m_reason)) {
-        const auto stated =
-            numeric_header_value(reply.m_message, header::capacity_after_us).value_or(0);
-        const auto wait = std::chrono::microseconds(std::min(stated, max_latency_us));
-        record_refusal(refusals, info.m_urgency, wait, now);
-    } else if (reply.m_reason == error_kind::none) {
-        record_acceptance(refusals, info.m_urgency);
-    } else {
-        return;
-    }
-    store_refusals(counters, refusals);
-}
-
-// Returns the backend servers of the service with their state as known to this node; those that do
-// not serve the version are marked as not usable. An empty version matches every version but the
-// target of a move.
-std::vector<candidate> make_candidates(const entry_call& call, std::string_view version,
-                                       time_point now) {
-    std::vector<candidate> candidates;
-    candidates.reserve(call.m_service->m_backends.size());
-    for (std::size_t i = 0; i < call.m_service->m_backends.size(); ++i) {
-        const backend_view& backend = call.m_service->m_backends[i];
-        const backend_counters& counters = *backend.m_counters;
-        candidate entry;
-        entry.m_own_data_centre = backend.m_own_data_centre;
-        const bool has_version = version.empty()
-                                     ? is_old_version(call.m_service->m_spec, backend.m_version)
-                                     : backend.m_version == version;
-        entry.m_usable = has_version &&
-                         !(backend.m_is_own && call.m_snapshot->m_own_refusal != error_kind::none);
-        entry.m_outstanding = counters.m_outstanding.load(std::memory_order_relaxed);
-        entry.m_load_permille = counters.m_load_permille.load(std::memory_order_relaxed);
-        entry.m_failure_permille = counters.m_failure_permille.load(std::memory_order_relaxed);
-        entry.m_latency =
-            std::chrono::microseconds(counters.m_latency_us.load(std::memory_order_relaxed));
-        entry.m_load_age =
-            now - time_point_from_us(counters.m_load_reported_us.load(std::memory_order_relaxed));
-        fill_speed(counters, entry);
-        entry.m_breaker_open = breaker_is_open(load_breaker(counters), now);
-        entry.m_refusing = is_refusing(read_refusal_state(counters), call.m_info.m_urgency, now);
-        entry.m_tried = call.m_tried[i];
-        candidates.push_back(entry);
-    }
-    return candidates;
-}
-
-// Result of the choice of a backend server: its index in the service, or the reason why there is
-// none.
-struct backend_choice {
-    std::optional<std::size_t> m_backend;
-    error_kind m_reason = error_kind::no_backend_server;
-};
-
-// Chooses a backend server of the version that has not been tried for this call. An onward call
-// that may wait for its deadline is sent to a server although that refuses calls.
-backend_choice choose_backend_of_version(entry_call& call, std::string_view version,
-                                         random_source& random, time_point now) {
-    std::vector<candidate> candidates = make_candidates(call, version, now);
-    const bool all_refuse = is_overloaded(candidates);
-    if (call.m_serves_another && may_wait_for_deadline(call.m_refused_attempts, all_refuse)) {
-        call.m_info.m_useful_until = time_point{};
-        for (candidate& server : candidates) {
-            server.m_refusing = false;
-        }
-    } else if (all_refuse) {
-        return {std::nullopt, error_kind::queue_full};
-    }
-    return {call.m_references != nullptr
-                ? choose_by_expected_time(candidates, call.m_usual_run, random)
-                : choose_candidate(candidates, random)};
-}
-
-// Chooses the backend server for a call of the new or the old version. A call of the new version
-// falls back to the old one if the new version has no usable backend server. The reverse is not
-// done, since the new version would receive more than its share.
-backend_choice choose_backend(entry_call& call, bool new_version, random_source& random,
-                              time_point now) {
-    if (new_version) {
-        const backend_choice found =
-            choose_backend_of_version(call, call.m_service->m_new_version, random, now);
-        if (found.m_backend) {
-            return found;
-        }
-        const backend_choice old =
-            choose_backend_of_version(call, call.m_service->m_old_version, random, now);
-        return old.m_backend ? old : found;
-    }
-    return choose_backend_of_version(call, call.m_service->m_old_version, random, now);
-}
-
 // Returns the error kind that the next node reports in its headers. An answer without a consistent
 // outcome and reason does not come from a node, so it is unknown whether the request ran; internal
 // is returned for it.
@@ -254,15 +79,6 @@
                                  call.m_snapshot->m_config_version);
 }
 
-// Returns the waits for capacity that the next node reports in its headers.
-capacity_waits reported_waits(const http_response& answer) {
-    capacity_waits waits;
-    const auto waited = numeric_header_value(answer, header::waited_us).value_or(0);
-    waits.m_waited = std::chrono::microseconds(std::min(waited, max_latency_us));
-    waits.m_refused = answer.find(std::string(header::onward_refused)) != answer.end();
-    return waits;
-}
-
 // Forwards the call to the node beside the chosen backend server and returns its answer.
 call_reply forward(traffic_context& context, call_control& control, const entry_call& call,
                    const backend_view& backend, http_request& request, asio::yield_context yield) {
@@ -457,10 +273,7 @@
                               false);
         }
         const backend_view& backend = call.m_service->m_backends[*chosen.m_backend];
-        circuit_breaker breaker = load_breaker(*backend.m_counters);
-        if (breaker.m_failures > 0 && breaker_try_call(breaker, now)) {
-            store_breaker(*backend.m_counters, breaker);
-        }
+        begin_trial_call(*backend.m_counters, now);
         call.m_tried[*chosen.m_backend] = true;
         ++call.m_attempts;
         if (call.m_attempts > 1) {
@@ -491,10 +304,6 @@
     }
 }
 
-std::string route_name(const route_spec& route) {
-    return route.m_host + route.m_path;
-}
-
 // Returns the service that receives the call, chosen by weight if the route is split.
 std::string choose_service(traffic_context& context, const route_spec& route) {
     if (route.m_split.empty()) {
@@ -545,68 +354,6 @@
     }
 }
 
-// Applies the terms of the call that this one serves, if the own backend server is working on it.
-// Returns whether that is so.
-bool inherit_terms(traffic_context& context, entry_call& call, urgency own) {
-    const std::string_view parent = parent_number(
-        call.m_info.m_request_number, context.m_settings.m_edge_headers.m_onward_separator);
-    const std::lock_guard lock(context.m_served_mutex);
-    const auto terms = inherited_terms(context.m_served_calls, parent, own);
-    if (!terms) {
-        return false;
-    }
-    call.m_info.m_urgency = terms->m_urgency;
-    call.m_info.m_urgency_inherited = true;
-    call.m_info.m_hop = std::max(call.m_info.m_hop, terms->m_hop);
-    call.m_info.m_repeated = terms->m_repeated;
-    return true;
-}
-
-// Returns whether a call that doesn't serve another one may enter.
-bool may_enter_route(traffic_context& context, call_control& control, const entry_call& call,
-                     time_point now) {
-    const std::lock_guard lock(context.m_entry_mutex);
-    const auto found = context.m_route_throttles.find(route_name(*call.m_route));
-    return found == context.m_route_throttles.end() ||
-           may_enter(found->second, call.m_info.m_useful_until, now, control.random());
-}
-
-// Records the waits of a call that has ended: with the call that it serves, or for its route.
-void record_waits(traffic_context& context, const entry_call& call, const call_reply& reply,
-                  time_point began) {
-    const time_point now = context.m_clock.now();
-    capacity_waits waits = reply.m_waits;
-    waits.m_refused = waits.m_refused || is_overload_refusal(reply.m_reason);
-    if (call.m_serves_another) {
-        const std::string_view parent = parent_number(
-            call.m_info.m_request_number, context.m_settings.m_edge_headers.m_onward_separator);
-        const std::lock_guard lock(context.m_served_mutex);
-        record_onward_waits(context.m_served_calls, parent, waits, began, now);
-        return;
-    }
-    const bool may_count = reply.m_reason == error_kind::none || reply.m_waits.m_refused;
-    if (!may_count || call.m_info.m_useful_until == time_point{}) {
-        return;
-    }
-    const std::lock_guard lock(context.m_entry_mutex);
-    if (context.m_route_throttles.size() >= max_tracked_routes) {
-        context.m_route_throttles.clear();
-    }
-    route_throttle& throttle = context.m_route_throttles[route_name(*call.m_route)];
-    const bool was_limited = throttle.m_admitted_share < 1;
-    record_answer(
-        throttle,
-        {began, call.m_info.m_useful_until, reply.m_waits.m_waited, reply.m_waits.m_refused}, now);
-    const bool limited = throttle.m_admitted_share < 1;
-    if (limited != was_limited) {
-        log_event(log_level::warning, limited ? "route_limited" : "route_unlimited",
-                  {{"route", call.m_info.m_route},
-                   {"service", call.m_info.m_service},
-                   {"waited_us", to_us(reply.m_waits.m_waited)},
-                   {"onward_refused", reply.m_waits.m_refused}});
-    }
-}
-
 // Finds the route, service and deadline of a call, then runs its attempts.
 call_reply run_entry(traffic_context& context, call_control& control, entry_call& call,
                      http_request& request, asio::yield_context yield) {
--- a/src/traffic/traffic_context.cpp
+++ b/src/traffic/traffic_context.cpp
@@ -68,6 +68,10 @@
     }
 }
 
+std::string route_name(const route_spec& route) {
+    return route.m_host + route.m_path;
+}
+
 std::uint64_t ms_left(time_point deadline, time_point now) {
     if (deadline <= now) {
         return 0;
--- a/src/traffic/traffic_context.hpp
+++ b/src/traffic/traffic_context.hpp
@@ -52,6 +52,9 @@
 // answer, so that the next node does not reject an answer that the first one accepted.
 constexpr std::uint32_t max_added_answer_header_bytes = 2U << 10U;
 
+// Number of routes, over all configurations since the start, for which a state is kept.
+constexpr std::size_t max_tracked_routes = 10'000;
+
 // State that the entry side keeps for one service between calls.
 struct entry_state {
     retry_budget m_budget;
@@ -173,6 +176,9 @@
     std::atomic<std::size_t>& m_count;
 };
 
+// Returns the key of the states that are kept for each route.
+std::string route_name(const route_spec& route);
+
 // Converts a duration to microseconds.
 inline std::int64_t to_us(duration value) {
     return std::chrono::duration_cast<std::chrono::microseconds>(value).count();
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -12,6 +12,17 @@
 
 namespace {
 
+// Returns the state for a server that reports its own warm-up and is warm, so that all slots may be
+// used at once.
+admission_state make_warm_admission(std::uint32_t slots) {
+    admission_limits limits;
+    limits.m_slots = slots;
+    limits.m_detect_cold_start = false;
+    admission_state state = make_admission(limits);
+    set_admission_limits(state, limits);
+    return state;
+}
+
 // Model of a backend server. While cold it answers up to five times slower and fails every call
 // above a quarter of its slots; it warms up with time and with the calls it answers.
 struct model_server {
@@ -383,11 +394,7 @@
 // Guards against a queue in which calls that have become late delay calls that can still be
 // answered in time.
 BOOST_AUTO_TEST_CASE(calls_that_became_late_in_the_queue_give_way) {
-    admission_limits limits;
-    limits.m_slots = 1;
-    limits.m_detect_cold_start = false;
-    admission_state state = make_admission(limits);
-    set_admission_limits(state, limits);
+    admission_state state = make_warm_admission(1);
     time_point now{std::chrono::seconds(10)};
     const time_point far_deadline = now + std::chrono::seconds(5);
     admission_offer(state, {1, urgency::normal, far_deadline}, now);
@@ -405,11 +412,7 @@
 // Guards against late retries that, with their earlier deadline, take the slots before calls that
 // can still be answered in time. In an overload all calls would then be late.
 BOOST_AUTO_TEST_CASE(late_calls_wait_behind_those_that_can_be_in_time) {
-    admission_limits limits;
-    limits.m_slots = 1;
-    limits.m_detect_cold_start = false;
-    admission_state state = make_admission(limits);
-    set_admission_limits(state, limits);
+    admission_state state = make_warm_admission(1);
     const time_point now{std::chrono::seconds(10)};
     const time_point far_deadline = now + std::chrono::seconds(5);
     const auto offer = [&](std::uint64_t call, urgency level, time_point deadline,
@@ -433,17 +436,14 @@
 // Guards against a reported load that doesn't distinguish a full server from one with a long queue,
 // or that makes a cold server, which runs few calls at a time, look idle.
 BOOST_AUTO_TEST_CASE(reported_load_includes_queue_and_cold_start) {
-    admission_limits limits;
-    limits.m_slots = 4;
-    limits.m_detect_cold_start = false;
-    admission_state state = make_admission(limits);
-    set_admission_limits(state, limits);
+    admission_state state = make_warm_admission(4);
     const time_point now{std::chrono::seconds(10)};
     for (std::uint64_t call = 1; call <= 12; ++call) {
         admission_offer(state, {call, urgency::normal, now + std::chrono::seconds(5)}, now);
     }
     BOOST_TEST(admission_load_permille(state, now) == 3'000U);
 
+    admission_limits limits = state.m_limits;
     limits.m_cold_until = now + std::chrono::seconds(3);
     limits.m_cold_calls_per_second = 10;
     admission_state cold = make_admission(limits);
@@ -463,11 +463,7 @@
 // Guards against a refusal that doesn't state when there may be capacity: the callers' nodes would
 // retry at once.
 BOOST_AUTO_TEST_CASE(refusal_states_when_to_retry) {
-    admission_limits limits;
-    limits.m_slots = 2;
-    limits.m_detect_cold_start = false;
-    admission_state state = make_admission(limits);
-    set_admission_limits(state, limits);
+    admission_state state = make_warm_admission(2);
     time_point now{std::chrono::seconds(10)};
     std::uint64_t call = 0;
     const auto offer = [&] {
@@ -493,11 +489,7 @@
 // can no longer be answered. The caller would lose the time for a retry, and the server would work
 // in vain.
 BOOST_AUTO_TEST_CASE(calls_without_time_are_given_up_early) {
-    admission_limits limits;
-    limits.m_slots = 1;
-    limits.m_detect_cold_start = false;
-    admission_state state = make_admission(limits);
-    set_admission_limits(state, limits);
+    admission_state state = make_warm_admission(1);
     time_point now{std::chrono::seconds(10)};
     call_sample sample;
     sample.m_latency = milliseconds(100);
@@ -517,11 +509,7 @@
 // Guards against an onward call that waits behind other calls of its urgency: the call that it
 // serves holds a slot of another server meanwhile.
 BOOST_AUTO_TEST_CASE(onward_calls_precede_others_of_their_urgency) {
-    admission_limits limits;
-    limits.m_slots = 1;
-    limits.m_detect_cold_start = false;
-    admission_state state = make_admission(limits);
-    set_admission_limits(state, limits);
+    admission_state state = make_warm_admission(1);
     const time_point now{std::chrono::seconds(10)};
     const auto offer = [&](std::uint64_t call, urgency level, bool onward) {
         const time_point deadline = now + std::chrono::seconds(5);
@@ -550,11 +538,7 @@
         time_point m_ends;
     };
     random_source random(11);
-    admission_limits limits;
-    limits.m_slots = 13;
-    limits.m_detect_cold_start = false;
-    admission_state state = make_admission(limits);
-    set_admission_limits(state, limits);
+    admission_state state = make_warm_admission(13);
     std::vector<running_call> running;
     std::map<std::uint64_t, urgency> offered;
     std::map<std::uint64_t, time_point> offered_at;
@@ -614,11 +598,7 @@
 // Guards against a few urgent calls that take nearly all slots from background calls, which may be
 // the main load of a server.
 BOOST_AUTO_TEST_CASE(rare_urgent_calls_cost_background_calls_no_slot) {
-    admission_limits limits;
-    limits.m_slots = 13;
-    limits.m_detect_cold_start = false;
-    admission_state state = make_admission(limits);
-    set_admission_limits(state, limits);
+    admission_state state = make_warm_admission(13);
     time_point now{std::chrono::seconds(10)};
     // One urgent call a second, which waits for half of its useful time each.
     for (std::uint64_t call = 1; call <= 60; ++call) {
@@ -638,7 +618,7 @@
         }
         now += milliseconds(500);
     }
-    BOOST_TEST(background_slots(state, now) == 13U);
+    BOOST_TEST(admission_background_slots(state, now) == 13U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -124,14 +124,22 @@
     BOOST_TEST(!parse_limits(R"("limits":7)").has_value());
 }
 
+namespace {
+
+// Parses the configuration with another kind of the route "b".
+std::optional<mesh> parse_with_kind(std::string_view kind) {
+    error reason;
+    const std::vector<store_entry> items{
+        make_entry("op/config", with_replacement(config_text, R"("kind":"idempotent")", kind))};
+    return platform::parse_operator_items(items, reason);
+}
+
+} // namespace
+
 // Guards against a mesh without any configuration because one route has a kind that this program
 // doesn't know, and against repeating calls of such a route.
 BOOST_AUTO_TEST_CASE(a_route_of_an_unknown_kind_runs_calls_at_most_once) {
-    error reason;
-    const std::vector<store_entry> items{
-        make_entry("op/config", with_replacement(config_text, R"("kind":"idempotent")",
-                                                 R"("kind":"sometimes")"))};
-    const auto read = platform::parse_operator_items(items, reason);
+    const auto read = parse_with_kind(R"("kind":"sometimes")");
     BOOST_REQUIRE(read);
     const route_spec* route = match_route(*read, "h.example", "/a/b/c");
     BOOST_REQUIRE(route);
@@ -143,11 +151,7 @@
 
 // Guards against rejecting downloads: a deployment with such a route had no configuration at all.
 BOOST_AUTO_TEST_CASE(downloads_are_idempotent_with_large_answers) {
-    error reason;
-    const std::vector<store_entry> items{
-        make_entry("op/config", with_replacement(config_text, R"("kind":"idempotent")",
-                                                 R"("kind":"download")"))};
-    const auto read = platform::parse_operator_items(items, reason);
+    const auto read = parse_with_kind(R"("kind":"download")");
     BOOST_REQUIRE(read);
     const route_spec* route = match_route(*read, "h.example", "/a/b/c");
     BOOST_REQUIRE(route);
