Review case 7: record an evacuation after the configuration; the kit gives each port out once

Cause: an evacuation is an item like the configuration and is rejected with it; ports were given out twice in some runs, which then could not run. Done: the script orders an evacuation and notes what reaches the zone, which isn't judged; the stand-ins keep the ports that they have given out.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -85,7 +85,17 @@
                     node.name, path))
                 broken += 1
     mesh.record.note("%d of 8 requests handled as only an older version allows" % broken)
-    # Not judged, but what an operator meets next: the nodes are stopped and started again.
+    # Not judged, but what an operator meets next: a zone is to be emptied, and the nodes are stopped
+    # and started again.
+    mesh.store.put("op/evacuate/cairo-a", "{}")
+    mesh.record.note("operator orders the evacuation of cairo-a")
+    time.sleep(BOUNDS["evacuate_ms"] / 1000 + 0.5)
+    evacuated = mesh.record.now()
+    for number in range(20):
+        mesh.nodes[number % 4].request("POST", "/deposit/e", b"x")
+    mesh.record.note("%d of 20 requests reach the server in cairo-a later than evacuate_ms" % sum(
+        run["at"] > evacuated for run in mesh.nodes[0].server.runs))
+    mesh.store.delete("op/evacuate/cairo-a")
     for node in mesh.nodes:
         node.signal(signal.SIGTERM)
     for node in mesh.nodes:
--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -55,12 +55,16 @@
             self.out.flush()
 
 
+given_ports = set()
+
+
 def free_ports(count):
     """Returns ports that are free for TCP and UDP. They lie below those that the system gives to
-    outgoing connections, so that none of these takes a port before its node listens."""
+    outgoing connections, so that none of these takes a port before its node listens, and no port is
+    given out twice."""
     ports = []
     while len(ports) < count:
-        port = random.SystemRandom().randrange(20000, 32000)
+        port = random.SystemRandom().randrange(10000, 32000)
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp, \
                 socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
             try:
@@ -68,7 +72,8 @@
                 udp.bind((HOST, port))
             except OSError:
                 continue
-        if port not in ports:
+        if port not in given_ports:
+            given_ports.add(port)
             ports.append(port)
     return ports
 
