Complete no answer by the end of its connection if the request could not be sent

Callers saw: a server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was being written. The caller got that part as a complete answer. With bodies above some 65 KB even the part was cut.

Cause: the system reports a reset of a connection once. Here the write of the request got it; the read that followed got the received bytes and then an orderly end, with which an answer without a length is complete. exchange() knew that the write had failed and only kept the connection from being used again.

Change: after a failed write, the end of the connection completes no answer; the caller gets answer-truncated (502, outcome unknown). Answers whose own framing ends them (a length, or the last chunk) are passed on as before. The same function reads the answers of other nodes and of health checks. The client of the store reads no answer after a failed write, and requests never end with their connection, so neither has the fault.

Why it works: the reset can only reach the reader as an end if the writer has consumed it, and then the write has failed.

--- a/src/traffic/connection_pool.cpp
+++ b/src/traffic/connection_pool.cpp
@@ -274,9 +274,11 @@
 namespace {
 
 // Reads from the connection until the answer is complete. Returns false with the reason if it is
-// invalid, ended early or made no progress, or if the call ended.
+// invalid, ended early or made no progress, or if the call ended. request_cut states that the
+// connection failed while the request was written. The system reports a reset only once, there to
+// the writer; the reader then sees an orderly end, which completes no answer.
 bool read_answer(call_control& control, connection& peer_connection, answer_reader& reader,
-                 asio::yield_context yield, error& reason) {
+                 bool request_cut, asio::yield_context yield, error& reason) {
     boost::beast::flat_buffer& buffer = peer_connection.m_buffer;
     std::optional<stall_timer> stall;
     reason = error{};
@@ -304,7 +306,7 @@
             fail(reason, control.end_reason(true), "the call ended before its answer");
             return false;
         }
-        if (failed == asio::error::eof && reader.end()) {
+        if (failed == asio::error::eof && !request_cut && reader.end()) {
             return true;
         }
         if (failed) {
@@ -338,7 +340,7 @@
     // even after a failed write.
     while (true) {
         answer_reader reader(request.method(), limits);
-        if (!read_answer(control, peer_connection, reader, yield, reason)) {
+        if (!read_answer(control, peer_connection, reader, write_failed.failed(), yield, reason)) {
             if (reason.m_kind == error_kind::answer_invalid) {
                 log_event(
                     log_level::warning, "answer_invalid",
--- a/src/traffic/connection_pool.hpp
+++ b/src/traffic/connection_pool.hpp
@@ -77,11 +77,11 @@
 
 // Sends the request and reads the complete answer; answers to other requests are dropped. An answer
 // without a length is complete when the peer closes the connection, but truncated if the connection
-// is reset. Fails with connection_cut if no byte of the final answer to this request arrived,
-// answer_truncated if the answer ended early or made no progress for max_answer_pause,
-// answer_invalid if it is not HTTP or exceeds a limit of its head or framing, answer_too_large, or
-// the error kind by which the call ended. The peer may have received the request in all these
-// cases.
+// is reset, also while the request is still being written. Fails with connection_cut if no byte of
+// the final answer to this request arrived, answer_truncated if the answer ended early or made no
+// progress for max_answer_pause, answer_invalid if it is not HTTP or exceeds a limit of its head or
+// framing, answer_too_large, or the error kind by which the call ended. The peer may have received
+// the request in all these cases.
 std::optional<http_response> exchange(call_control& control, connection& peer_connection,
                                       const http_request& request, const exchange_limits& limits,
                                       const answer_matcher& matches,
--- a/tests/integration/invalid_answers_test.py
+++ b/tests/integration/invalid_answers_test.py
@@ -2,11 +2,12 @@
 nodes on the platform, with a server that sends raw bytes."""
 import concurrent.futures
 import http.client
+import json
 
 from harness import Harness, run_tests, wait_until
 from platform_mesh import Instance, config
 from platform_standins import PlatformStore
-from raw_answers import ENDLESS, INVALID, PAUSING, PIECES, UNUSUAL, RawServer
+from raw_answers import EARLY, ENDLESS, INVALID, PAUSING, PIECES, UNUSUAL, RawServer
 
 READY_S = 10
 # A server may send this much of an endless answer: the limit of a body (16 MiB), the framing of the
@@ -18,7 +19,10 @@
 MAX_FAULTY_RUNS = 12
 
 LONG_CALL_MS = 20_000  # longer than all pauses, so that no deadline ends the call
-PARALLEL_PAUSES = 3  # below the four slots of a server, so that no call waits for another
+PARALLEL_CALLS = 3  # below the four slots of a server, so that no call waits for another
+UPLOAD_BYTES = 14_000_000  # above what the socket buffers hold
+LIMITS = {"max_header_bytes": 16384, "max_body_bytes": 16 << 20, "header_timeout_ms": 3000,
+          "idle_timeout_ms": 15000}
 ROUTES = [("/orders/", "non_idempotent", {"service": "orders"}),
           ("/long/", "non_idempotent", {"service": "orders", "timeout_ms": LONG_CALL_MS,
                                         "target_latency_ms": LONG_CALL_MS // 2}),
@@ -33,7 +37,8 @@
         self.harness = Harness()
         self.harness.__enter__()
         self.store = PlatformStore()
-        self.store.put("op/config", config(5, ROUTES))
+        text = json.loads(config(5, ROUTES))
+        self.store.put("op/config", json.dumps({**text, "limits": LIMITS}))
         self.orders = Instance(self.harness, self.store, "orders-raw", "orders", "north", RawServer)
         self.faulty = Instance(self.harness, self.store, "stock-raw", "stock", "north", RawServer)
         self.sound = Instance(self.harness, self.store, "stock-sound", "stock", "north")
@@ -48,11 +53,11 @@
             instance.server.stopped.set()
         self.harness.__exit__(kind, value, trace)
 
-    def call(self, entry, path, deadline_ms=2000):
+    def call(self, entry, path, deadline_ms=2000, body=b""):
         """Returns the status and the body of the answer, or the name of the error if the caller
         can't read it."""
         try:
-            return entry.call(path, deadline_ms=deadline_ms)
+            return entry.call(path, body, deadline_ms=deadline_ms)
         except (http.client.HTTPException, OSError) as error:
             return type(error).__name__, b""
 
@@ -116,7 +121,7 @@
 def test_pauses_within_an_answer_are_bounded():
     """Guards against a server that stops within an answer and holds the call until its deadline, and
     against a bound that ends a call whose server works for long before it answers."""
-    with Mesh() as mesh, concurrent.futures.ThreadPoolExecutor(PARALLEL_PAUSES) as pool:
+    with Mesh() as mesh, concurrent.futures.ThreadPoolExecutor(PARALLEL_CALLS) as pool:
         calls = {name: pool.submit(mesh.call, mesh.sound, "/long/" + name, LONG_CALL_MS)
                  for name in PAUSING}
         statuses = {name: call.result()[0] for name, call in calls.items()}
@@ -124,6 +129,22 @@
         assert statuses == expected, statuses
 
 
+def test_resets_during_an_upload_complete_no_answer():
+    """Guards against part of an answer that reaches a caller as a whole one because the server reset
+    the connection while the upload was still being written."""
+    with Mesh() as mesh, concurrent.futures.ThreadPoolExecutor(PARALLEL_CALLS) as pool:
+        wrong, upload = [], bytes(UPLOAD_BYTES)
+        for entry in (mesh.sound, mesh.orders):
+            def check(name, entry=entry):
+                answer = mesh.call(entry, "/long/" + name, LONG_CALL_MS, upload)
+                ordinary = mesh.call(entry, "/long/x", LONG_CALL_MS)[0]
+                if (answer[0], ordinary) != (502, 200):
+                    wrong.append((entry.name, name, answer[0], len(answer[1]), ordinary))
+            list(pool.map(check, EARLY))
+        assert not wrong, wrong
+        return f"{2 * len(EARLY)} uploads of {UPLOAD_BYTES} bytes, {PARALLEL_CALLS} at a time"
+
+
 def test_idempotent_calls_are_tried_elsewhere():
     """Guards against an invalid answer that is not tried again at another server, and against a
     server that keeps getting calls although all its answers are invalid."""
@@ -141,4 +162,6 @@
 if __name__ == "__main__":
     run_tests([test_invalid_answers_reach_no_caller, test_unusual_answers_reach_the_caller,
                test_answers_in_pieces_reach_the_caller, test_endless_answers_are_cut_off,
-               test_pauses_within_an_answer_are_bounded, test_idempotent_calls_are_tried_elsewhere])
+               test_pauses_within_an_answer_are_bounded,
+               test_resets_during_an_upload_complete_no_answer,
+               test_idempotent_calls_are_tried_elsewhere])
--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -272,7 +272,8 @@
                 super().finish()
 
             def do_GET(self):
-                server.handle_request(self, self.body())
+                early = server.answers_early(self)
+                server.handle_request(self, b"" if early else self.body())
 
             do_POST = do_GET
 
@@ -280,6 +281,10 @@
         self.port = self.server.server_address[1]
         threading.Thread(target=self._report_periodically, daemon=True).start()
 
+    def answers_early(self, handler):
+        """Returns whether the request is answered before its body is read."""
+        return False
+
     def handle_request(self, handler, body):
         expected = handler.headers.get("X-Carawaytray-Expected-Instance")
         if expected != self.instance_id:
--- a/tests/integration/raw_answers.py
+++ b/tests/integration/raw_answers.py
@@ -2,6 +2,7 @@
 node passes on. The last segment of a request's path names the answer; any other path gets an
 ordinary answer."""
 import socket
+import struct
 import time
 
 from platform_standins import ReportingServer
@@ -110,6 +111,17 @@
     "pause-until-close": ("HTTP/1.1 200 OK\r\n{seal}\r\no", "k", 502),
 }
 
+# Answers to an upload whose body the server leaves unread: the first bytes, and how the connection
+# ends after EARLY_PAUSE_S. None of them is whole.
+EARLY_PAUSE_S = 0.1
+EARLY = {f"early-{framing}-{part}-{end}": (head + "\r\n" + body, end)
+         for framing, head, start in (
+             ("none", "HTTP/1.1 200 OK\r\n{seal}", ""),
+             ("length", "HTTP/1.1 200 OK\r\n{seal}Content-Length: 900000\r\n", ""),
+             ("chunked", "HTTP/1.1 200 OK\r\n{seal}Transfer-Encoding: chunked\r\n", "dbba0\r\n"))
+         for part, body in (("empty", ""), ("small", start + "hello"), ("large", start + "x" * 500_000))
+         for end in ("reset", "close")}
+
 
 class RawServer(ReportingServer):
     """Sends the answer that the path names. Records the names of the answers by connection, in
@@ -119,9 +131,12 @@
         self.by_connection, self.bytes_sent = {}, {}
         super().__init__(*arguments, **named)
 
+    def answers_early(self, handler):
+        return handler.path.rsplit("/", 1)[1] in EARLY
+
     def handle_request(self, handler, body):
         name = handler.path.rsplit("/", 1)[1]
-        known = any(name in kinds for kinds in (INVALID, UNUSUAL, ENDLESS, PIECES, PAUSING))
+        known = any(name in kinds for kinds in (INVALID, UNUSUAL, ENDLESS, PIECES, PAUSING, EARLY))
         self.by_connection.setdefault(handler.client_address, []).append(name if known else "")
         if not known:
             return super().handle_request(handler, body)
@@ -139,6 +154,8 @@
             return self._send_pieces(handler, send, PIECES[name][0], PIECE_PAUSE_S)
         if name in PAUSING:
             return self._send_pieces(handler, send, PAUSING[name][:2], PAUSE_S)
+        if name in EARLY:
+            return self._send_early(handler, send, *EARLY[name])
         return send(INVALID[name] if name in INVALID else UNUSUAL[name][0])
 
     def _send_endlessly(self, handler, send, name):
@@ -164,6 +181,17 @@
         except OSError:
             handler.close_connection = True  # the node has closed it
 
+    @staticmethod
+    def _send_early(handler, send, text, end):
+        send(text)
+        time.sleep(EARLY_PAUSE_S)
+        if end == "reset":
+            handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                          struct.pack("ii", 1, 0))
+        # Closing the connection with bytes of the request unread resets it as well.
+        handler.connection.close()
+        handler.close_connection = True
+
     def names_after(self, name):
         """Returns the names of the answers that followed this one on its connection."""
         return [later for names in self.by_connection.values() if name in names
