Reject answers with a line that begins with a blank

Callers saw: a server sent a field whose name began with a blank or a tab. The caller got the answer as one, with the line as part of the value before it. Where that line stated the framing, the caller got the chunk lines as body, or the call waited for an end that didn't come.

Cause: HTTP once let a line that begins with a blank continue the value of the line before it. Boost.Beast joins such lines before anything of ours sees the fields, in heads and in trailers.

Change: answer_reader rejects an answer with such a line (answer-invalid, 502, outcome unknown). It looks at the bytes of each part of a head or trailer that Beast has consumed; these are whole fields with all their lines, so the result doesn't depend on how the bytes are split. RFC 9112, 5.2 allows a gateway to do so. Requests keep their behaviour: such a line reaches the server joined, on one line, and the body ends where the node read it; request_fields shows it.

All other bytes in names were rejected already: the new test of answer_reader tries all 256 bytes at 11 places of names, in heads and trailers and in every split. A status of 000 was rejected already, see the existing tests; nothing is changed for it.

--- a/src/traffic/answer_reader.cpp
+++ b/src/traffic/answer_reader.cpp
@@ -15,6 +15,14 @@
 // the size of a head. A chunk of one byte has five.
 constexpr std::uint64_t framing_bytes_per_body_byte = 8;
 
+// Returns true if a line begins with a blank. HTTP once let such a line continue the value of the
+// line before it, and Beast does so; to other readers it is a field of its own, which may even
+// state the framing. fields consists of whole fields, each with all its lines.
+bool has_continued_line(std::string_view fields) {
+    return fields.find("\n ") != std::string_view::npos ||
+           fields.find("\n\t") != std::string_view::npos;
+}
+
 void reject(error& reason, std::string_view text) {
     reason = {error_kind::answer_invalid, std::string(text)};
 }
@@ -57,6 +65,10 @@
         const std::size_t pending = incomplete ? rest.size() - used : 0;
         const bool chunk_line =
             !in_head && m_parser.chunked() && m_parser.get().body().size() == body_before;
+        if ((in_head || chunk_line) && has_continued_line(rest.substr(0, used))) {
+            reject(reason, "a line begins with a blank");
+            return consumed;
+        }
         if ((in_head && !check_head(used, pending, reason)) ||
             (chunk_line && !check_chunk_line(used, pending, reason)) || incomplete) {
             return consumed;
--- a/tests/answer_end_test.cpp
+++ b/tests/answer_end_test.cpp
@@ -79,7 +79,7 @@
         }
         const std::string length = field_of(head, "Content-Length");
         const std::size_t unread = length.empty() ? 0 : std::stoul(length);
-        connection.send(text + "\r\n" + body);
+        connection.send(text.append("\r\n").append(body));
         if (answer.m_end == "keep" || answer.m_end == "finish") {
             connection.discard(unread);
         } else {
--- a/tests/answer_reader_test.cpp
+++ b/tests/answer_reader_test.cpp
@@ -1,4 +1,6 @@
 // Tests of the reading of answers: limits and framing, for every split of the bytes.
+#include <cctype>
+
 #include "tests/fuzz/answer_pieces.hpp"
 #include "tests/support.hpp"
 
@@ -122,6 +124,56 @@
                 error_kind::answer_invalid));
 }
 
+// Guards against a field whose name has a byte that no name may have, and that the caller gets or
+// that another reader takes for the framing. All bytes are tried, at all places of a name.
+BOOST_AUTO_TEST_CASE(invalid_field_names_are_rejected) {
+    const auto may_be_in_name = [](char byte) {
+        return std::isalnum(static_cast<unsigned char>(byte)) != 0 ||
+               std::string_view("!#$%&'*+-.^_`|~").find(byte) != std::string_view::npos;
+    };
+    struct place {
+        std::string m_before, m_after;
+    };
+    const std::string chunks = "5\r\nhello\r\n0\r\n";
+    const std::vector<place> places{
+        {"", "x-odd: 5\r\nContent-Length: 5\r\n\r\nhello"}, // first line
+        {"Content-Length: 5\r\n", "x-odd: 5\r\n\r\nhello"},
+        {"Content-Length: 5\r\nx-", "odd: 5\r\n\r\nhello"},
+        {"Content-Length: 5\r\nx-odd", ": 5\r\n\r\nhello"},
+        // Framing that the node doesn't see as such.
+        {"x-a: b\r\n", "Content-Length: 3\r\n\r\nhello"},
+        {"Content", "Length: 3\r\n\r\nhello"},
+        {"Content-Length", ": 3\r\n\r\nhello"},
+        {"x-a: b\r\n", "Transfer-Encoding: chunked\r\n\r\n" + chunks + "\r\n"},
+        {"Transfer-Encoding", ": chunked\r\n\r\n" + chunks + "\r\n"},
+        // Trailer.
+        {"Transfer-Encoding: chunked\r\n\r\n" + chunks, "x-odd: 5\r\n\r\n"},
+        {"Transfer-Encoding: chunked\r\n\r\n" + chunks + "x-a: b\r\n", "x-odd: 5\r\n\r\n"}};
+    for (int value = 0; value < 256; ++value) {
+        const char byte = static_cast<char>(value);
+        if (byte == ':') {
+            continue; // ends the name
+        }
+        for (const place& one : places) {
+            const std::string text = std::string(ok_head) + one.m_before + byte + one.m_after;
+            // The connection ends after the answer, which completes one without a length.
+            const read_result result = read_all_splits(text, true);
+            BOOST_TEST(((result.m_reason == error_kind::none) == may_be_in_name(byte)),
+                       "byte " << value << " between '" << one.m_before << "' and '" << one.m_after
+                               << "': " << result);
+        }
+    }
+    // A line that begins with blanks continues the value of the line before it, for some readers.
+    for (const char* blanks : {" ", "\t", "  ", " \t", " \r\n "}) {
+        for (const char* field :
+             {"Content-Length: 3", "Transfer-Encoding: chunked", "x-odd: 1", ""}) {
+            const auto reason = reason_of("x-a: b\r\n" + std::string(blanks) + field +
+                                          "\r\nContent-Length: 5\r\n\r\nhello");
+            BOOST_TEST((reason == error_kind::answer_invalid), blanks << field);
+        }
+    }
+}
+
 // Guards against body bytes that are taken for the next answer on the connection.
 BOOST_AUTO_TEST_CASE(bodies_where_none_is_allowed_end_the_connection) {
     const std::string length = "Content-Length: 5\r\n\r\n";
--- a/tests/integration/raw_answers.py
+++ b/tests/integration/raw_answers.py
@@ -41,7 +41,17 @@
     for name, value in (("nul", "a\0b"), ("del", "a\x7fb"), ("bell", "a\x07b"), ("cr", "a\rb"),
                         ("lf", "a\nb")):
         answers["value-with-" + name] = ok + f"x-odd: {value}\r\nContent-Length: 2\r\n\r\nok"
-    answers["name-with-space"] = ok + "x odd: 1\r\nContent-Length: 2\r\n\r\nok"
+    length = "Content-Length: 2\r\n"
+    for name, byte in (("space", " "), ("tab", "\t"), ("nul", "\0"), ("bell", "\x07"), ("cr", "\r"),
+                       ("lf", "\n"), ("del", "\x7f"), ("high", "\xff")):
+        answers["name-with-" + name] = ok + f"x{byte}odd: 1\r\n{length}\r\nok"
+        answers["name-begins-with-" + name] = ok + f"{length}{byte}x-odd: 1\r\n\r\nok"
+        answers["name-ends-with-" + name] = ok + f"x-odd{byte}: 1\r\n{length}\r\nok"
+        answers["length-begins-with-" + name] = ok + f"x-a: 1\r\n{byte}{length}\r\nok"
+        answers["chunked-begins-with-" + name] = ok + f"x-a: 1\r\n{byte}Transfer-Encoding: chunked\r\n" \
+            f"{length}\r\n2\r\nok\r\n0\r\n\r\n"
+        answers["trailer-begins-with-" + name] = ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n" \
+            f"0\r\nx-a: 1\r\n{byte}x-odd: 1\r\n\r\n"
     answers["not-http"] = "\x01\x02\x03\x04" * 8 + "\r\n\r\n"
     return answers
 
