--- a/src/traffic/backend_side.cpp
+++ b/src/traffic/backend_side.cpp
@@ -6,6 +6,7 @@
 #include "config/mesh.hpp"
 #include "decide/traffic/pushback.hpp"
 #include "observe/log.hpp"
+#include "traffic/exchange.hpp"
 #include "traffic/server_answer.hpp"
 
 namespace caraway {
--- a/src/traffic/claims_over_http.cpp
+++ b/src/traffic/claims_over_http.cpp
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 
 #include "observe/log.hpp"
+#include "traffic/exchange.hpp"
 #include "traffic/traffic_context.hpp"
 
 namespace caraway {
--- a/src/traffic/connection_pool.hpp
+++ b/src/traffic/connection_pool.hpp
@@ -1,9 +1,9 @@
 // Persistent HTTP/1.1 connections to other nodes and to the own backend server, with one
-// outstanding request on each. A connection whose state is in doubt is closed and never reused.
+// outstanding request on each; see exchange.hpp. A connection whose state is in doubt is closed and
+// never reused.
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -13,9 +13,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 
-#include "traffic/answer_reader.hpp"
 #include "traffic/call_control.hpp"
-#include "traffic/http_message.hpp"
 
 namespace caraway {
 
@@ -71,20 +69,4 @@
     std::map<ip_endpoint, std::vector<std::unique_ptr<connection>>> m_idle;
 };
 
-// Returns true if the answer belongs to the request. A late answer to an earlier request may arrive
-// before it.
-using answer_matcher = std::function<bool(const http_response&)>;
-
-// Sends the request and reads the complete answer; answers to other requests are dropped. An answer
-// without a length is complete when the peer closes the connection, but truncated if the connection
-// is reset, also while the request is still being written. Fails with connection_cut if no byte of
-// the final answer to this request arrived, answer_truncated if the answer ended early or made no
-// progress for max_answer_pause, answer_invalid if it is not HTTP or exceeds a limit of its head or
-// framing, answer_too_large, or the error kind by which the call ended. The peer may have received
-// the request in all these cases.
-std::optional<http_response> exchange(call_control& control, connection& peer_connection,
-                                      const http_request& request, const exchange_limits& limits,
-                                      const answer_matcher& matches,
-                                      boost::asio::yield_context yield, error& reason);
-
 } // namespace caraway
--- a/src/traffic/entry_side.cpp
+++ b/src/traffic/entry_side.cpp
@@ -7,6 +7,7 @@
 #include "decide/traffic/pushback.hpp"
 #include "traffic/backend_choice.hpp"
 #include "traffic/backend_side.hpp"
+#include "traffic/exchange.hpp"
 #include "traffic/known_speed.hpp"
 #include "traffic/overload_control.hpp"
 
--- /dev/null
+++ b/src/traffic/exchange.cpp
@@ -0,0 +1,197 @@
+#include "traffic/exchange.hpp"
+
+#include <charconv>
+
+#include <boost/beast/core/read_size.hpp>
+
+#include "observe/log.hpp"
+
+namespace caraway {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+// Fraction of the idle timeout announced by the peer after which a connection is no longer reused,
+// so that no request is sent just as the peer closes the connection.
+constexpr double idle_timeout_fraction = 0.6;
+// Number of answers to earlier requests that are dropped before the exchange fails.
+constexpr int max_mismatched_answers = 2;
+// Maximum number of interim (1xx) answers before the final one, so that an exchange with a server
+// that sends them endlessly fails.
+constexpr int max_interim_answers = 16;
+// Longest time without a byte from the peer within an answer that has begun. It is longer than the
+// pauses of a server that still works (slow periods of 600 ms) and of a lost segment that is sent
+// again. Before the answer begins, only the call's deadline applies.
+constexpr milliseconds max_answer_pause{5'000};
+// Bytes read at once at most.
+constexpr std::size_t max_read_bytes = 64U << 10U;
+
+// Closes the socket if an answer makes no progress for max_answer_pause. The timer is armed at the
+// first restart(), so that an answer that arrives in one piece costs nothing, and again when it
+// fires early.
+class stall_timer {
+public:
+    stall_timer(call_control& control, tcp::socket& socket)
+        : m_control(control), m_socket(socket), m_timer(control.strand().get_inner_executor()) {}
+    stall_timer(const stall_timer&) = delete;
+    stall_timer& operator=(const stall_timer&) = delete;
+    stall_timer(stall_timer&&) = delete;
+    stall_timer& operator=(stall_timer&&) = delete;
+    ~stall_timer() { *m_active = false; }
+
+    void restart() {
+        m_until = m_control.clock().now() + max_answer_pause;
+        if (!m_armed) {
+            arm();
+        }
+    }
+    bool has_expired() const { return m_expired; }
+
+private:
+    void arm() {
+        m_armed = true;
+        m_timer.expires_after(m_until - m_control.clock().now());
+        m_timer.async_wait(asio::bind_executor(m_control.strand(),
+                                               [this, active = m_active](const error_code& failed) {
+                                                   if (failed || !*active) {
+                                                       return;
+                                                   }
+                                                   if (m_control.clock().now() < m_until) {
+                                                       arm();
+                                                       return;
+                                                   }
+                                                   m_expired = true;
+                                                   error_code ignored;
+                                                   m_socket.close(ignored);
+                                               }));
+    }
+
+    call_control& m_control;
+    tcp::socket& m_socket;
+    asio::steady_timer m_timer;
+    time_point m_until;
+    bool m_armed = false;
+    bool m_expired = false;
+    // Shared with the handler, which may run after this object has ended.
+    std::shared_ptr<bool> m_active = std::make_shared<bool>(true);
+};
+
+// Limits the idle time of the connection to the timeout that the peer announces in its Keep-Alive
+// header, if any.
+void apply_keep_alive_timeout(connection& peer_connection, const http_response& answer) {
+    constexpr std::string_view parameter = "timeout=";
+    const auto found = answer.find(http::field::keep_alive);
+    if (found == answer.end()) {
+        return;
+    }
+    const std::string_view text(found->value().data(), found->value().size());
+    const std::size_t at = text.find(parameter);
+    unsigned seconds = 0;
+    if (at == std::string_view::npos ||
+        std::from_chars(text.data() + at + parameter.size(), text.data() + text.size(), seconds)
+                .ec != std::errc()) {
+        return;
+    }
+    const auto stated = std::chrono::duration_cast<milliseconds>(std::chrono::seconds(seconds) *
+                                                                 idle_timeout_fraction);
+    peer_connection.m_max_idle_time = std::min(peer_connection.m_max_idle_time, stated);
+}
+
+// Reads from the connection until the answer is complete. Returns false with the reason if it is
+// invalid, ended early or made no progress, or if the call ended. request_cut states that the
+// connection failed while the request was written. The system reports a reset only once, there to
+// the writer; the reader then sees an orderly end, which completes no answer.
+bool read_answer(call_control& control, connection& peer_connection, answer_reader& reader,
+                 bool request_cut, asio::yield_context yield, error& reason) {
+    boost::beast::flat_buffer& buffer = peer_connection.m_buffer;
+    std::optional<stall_timer> stall;
+    reason = error{};
+    while (true) {
+        const std::string_view bytes(static_cast<const char*>(buffer.data().data()), buffer.size());
+        buffer.consume(reader.parse(bytes, reason));
+        if (reason.m_kind != error_kind::none || reader.is_done()) {
+            return reader.is_done() && reason.m_kind == error_kind::none;
+        }
+        const std::size_t size = boost::beast::read_size(buffer, max_read_bytes);
+        if (size == 0) {
+            fail(reason, error_kind::answer_invalid, "a line is above the limit");
+            return false;
+        }
+        if (reader.has_started()) {
+            if (!stall) {
+                stall.emplace(control, peer_connection.m_socket);
+            }
+            stall->restart();
+        }
+        error_code failed;
+        buffer.commit(
+            peer_connection.m_socket.async_read_some(buffer.prepare(size), yield[failed]));
+        if (control.is_ended()) {
+            fail(reason, control.end_reason(true), "the call ended before its answer");
+            return false;
+        }
+        if (failed == asio::error::eof && !request_cut && reader.end()) {
+            return true;
+        }
+        if (failed) {
+            const bool stalled = stall && stall->has_expired();
+            fail(reason,
+                 reader.has_started() ? error_kind::answer_truncated : error_kind::connection_cut,
+                 "read the answer: " +
+                     (stalled ? std::string("no byte for too long") : failed.message()));
+            return false;
+        }
+    }
+}
+
+} // namespace
+
+std::optional<http_response> exchange(call_control& control, connection& peer_connection,
+                                      const http_request& request, const exchange_limits& limits,
+                                      const answer_matcher& matches, asio::yield_context yield,
+                                      error& reason) {
+    peer_connection.m_reusable = false;
+    int mismatched = 0;
+    int interim_answers = 0;
+    const call_control::outgoing_guard guard(control, peer_connection.m_socket);
+    error_code write_failed;
+    http::serializer<true, http_request::body_type> serializer(request);
+    http::async_write(peer_connection.m_socket, serializer, yield[write_failed]);
+    if (control.is_ended()) {
+        return fail(reason, control.end_reason(true), "the call ended while it was sent");
+    }
+    // A refusal may arrive although the peer did not read the whole request, so the answer is read
+    // even after a failed write.
+    while (true) {
+        answer_reader reader(request.method(), limits);
+        if (!read_answer(control, peer_connection, reader, write_failed.failed(), yield, reason)) {
+            if (reason.m_kind == error_kind::answer_invalid) {
+                log_event(
+                    log_level::warning, "answer_invalid",
+                    {{"peer", format_endpoint(peer_connection.m_peer)}, {"text", reason.m_text}});
+            }
+            return std::nullopt;
+        }
+        if (reader.answer().result_int() / 100 == 1) {
+            if (++interim_answers > max_interim_answers) {
+                return fail(reason, error_kind::connection_cut,
+                            "too many interim answers came before the final one");
+            }
+            continue;
+        }
+        if (matches && !matches(reader.answer())) {
+            if (++mismatched > max_mismatched_answers || !reader.keeps_connection()) {
+                return fail(reason, error_kind::connection_cut,
+                            "the answer belongs to another request");
+            }
+            continue;
+        }
+        apply_keep_alive_timeout(peer_connection, reader.answer());
+        peer_connection.m_reusable =
+            !write_failed && reader.keeps_connection() && peer_connection.m_buffer.size() == 0;
+        return reader.release();
+    }
+}
+
+} // namespace caraway
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 
 #include "observe/log.hpp"
+#include "traffic/exchange.hpp"
 #include "traffic/served_connection.hpp"
 
 namespace caraway {
--- a/src/traffic/traffic_context.hpp
+++ b/src/traffic/traffic_context.hpp
@@ -18,6 +18,7 @@
 #include "observe/metrics.hpp"
 #include "observe/span.hpp"
 #include "traffic/admission_gate.hpp"
+#include "traffic/answer_reader.hpp"
 #include "traffic/byte_budget.hpp"
 #include "traffic/claims_over_http.hpp"
 #include "traffic/connection_pool.hpp"
