Count the bytes of answers while they are read, and reject those that don't fit

What happens: a server sends large answers without end to many calls at once. Each answer stays below the limit of a single one (max_answer_bytes), but all of them together are held until their calls end, and the process exceeds the memory of its instance. Other callers lose their requests with it.

Cause: the account of held bytes (byte_budget) covered requests and complete answers. An answer was counted only once it was complete and handed to its client's connection, so answers that never end, and those of failed attempts that are tried again, were not counted. An idle connection also kept a read buffer of up to 128 KiB after a large answer.

The charge goes along with the answer until its client's connection is charged. An idle connection keeps a buffer of 8 KiB at most.

--- a/src/traffic/answer_reader.cpp
+++ b/src/traffic/answer_reader.cpp
@@ -118,6 +118,14 @@
     return !failed;
 }
 
+// A body without a declared length grows in steps, and up to the whole capacity is in use while it
+// does. A declared length is reserved at once, but memory is in use only for the bytes received.
+std::uint64_t answer_reader::held_bytes() const {
+    const std::string& body = answer().body();
+    const bool declared = m_parser.is_header_done() && m_parser.content_length().has_value();
+    return m_head_bytes + m_framing_bytes + (declared ? body.size() : body.capacity());
+}
+
 bool answer_reader::keeps_connection() const {
     const bool body_left_out = answer().body().empty() && m_framing_bytes == 0 &&
                                (declared_length(answer()) > 0 || m_parser.chunked());
--- a/src/traffic/answer_reader.hpp
+++ b/src/traffic/answer_reader.hpp
@@ -40,6 +40,8 @@
     // The answer; its head is complete once is_done() returns true.
     const http_response& answer() const { return m_parser.get(); }
     http_response release() { return m_parser.release(); }
+    // Returns the bytes that are held for the answer so far.
+    std::uint64_t held_bytes() const;
 
 private:
     bool check_head(std::size_t used, std::size_t pending, error& reason);
--- a/src/traffic/backend_side.cpp
+++ b/src/traffic/backend_side.cpp
@@ -21,6 +21,7 @@
 // Result of one attempt at the own backend server.
 struct server_result {
     std::optional<http_response> m_answer;
+    byte_charge m_charge; // of the answer
     error m_reason;
     bool m_sent = false;
     bool m_replayed = false;  // the response is from an earlier attempt with the same key
@@ -121,6 +122,7 @@
     open_connection.m_reusable &= not_run;
     result.m_sent = !not_run;
     result.m_answer.reset();
+    result.m_charge.resize(0);
     result.m_reason = std::move(reason);
 }
 
@@ -150,11 +152,13 @@
         const answer_match found = match(answer);
         return found == answer_match::own || (found == answer_match::unclear && info.m_idempotent);
     };
-    result.m_answer = exchange(control, open_connection, request, context.limits(), is_final, yield,
-                               result.m_reason);
-    if (!result.m_answer) {
+    auto received = exchange(control, open_connection, request, context.limits(), context.m_budget,
+                             is_final, yield, result.m_reason);
+    if (!received) {
         return result;
     }
+    result.m_answer = std::move(received->m_message);
+    result.m_charge = std::move(received->m_charge);
     if (auto reason = rejection_reason(edge, *result.m_answer, match(*result.m_answer))) {
         reject_answer(open_connection, std::move(*reason), result);
     }
@@ -309,6 +313,7 @@
     call_reply reply;
     if (result.m_answer) {
         reply.m_message = std::move(*result.m_answer);
+        reply.m_charge = std::move(result.m_charge);
         strip_hop_by_hop_headers(reply.m_message);
         strip_internal_headers(reply.m_message, {});
         if (result.m_replayed) {
--- a/src/traffic/byte_budget.hpp
+++ b/src/traffic/byte_budget.hpp
@@ -1,6 +1,7 @@
-// Account of the bytes that a node holds for the clients of its HTTP ports: requests that arrive,
-// wait or run, and answers that are not written yet. When a limit is exceeded, the budget rejects
-// the connections that decide/traffic/held_bytes chooses. Safe to use from any thread.
+// Account of the bytes that a node holds: for the clients of its HTTP ports, requests that arrive,
+// wait or run, and answers that are not written yet; of backend servers and other nodes, answers
+// that arrive. When a limit is exceeded, the budget rejects the connections that
+// decide/traffic/held_bytes chooses. Safe to use from any thread.
 #pragma once
 
 #include <array>
@@ -51,8 +52,9 @@
     std::vector<byte_share*> m_large_shares;
 };
 
-// Bytes held for one connection. Bytes are added and progress is recorded by the connection's own
-// coroutines; only the rejection may come from another thread.
+// Bytes held for one connection of a client, or of one answer that is read. Bytes are added and
+// progress is recorded by the connection's own coroutines; only the rejection may come from another
+// thread.
 class byte_share {
 public:
     // reject is called at most once, on any thread and while the budget is locked, when the
@@ -68,7 +70,7 @@
     // Adds bytes. Returns false if the connection is rejected; the bytes are counted nevertheless.
     bool add(std::uint64_t bytes);
     void remove(std::uint64_t bytes);
-    // Records that the client sent more of a request or began to receive an answer.
+    // Records that more of a request or an answer arrived, or that the client began to receive one.
     void record_progress(time_point now) { m_progressed_at.store(now, std::memory_order_relaxed); }
     bool is_rejected() const { return m_rejected.load(std::memory_order_relaxed); }
     const std::string& address() const { return m_address; }
@@ -79,7 +81,7 @@
     friend class rejectable_scope;
 
     byte_budget& m_budget;
-    const std::string m_address; // of the client, without the port
+    const std::string m_address; // of the client, without the port, or of the server, with it
     const std::uint64_t m_address_hash;
     const std::function<void()> m_reject;
     std::atomic<std::uint64_t> m_bytes{0};
@@ -90,7 +92,7 @@
 };
 
 // Allows the rejection of a connection while this object exists: while its client sends a request
-// or receives an answer.
+// or receives an answer, or while an answer is read from it.
 class rejectable_scope {
 public:
     rejectable_scope(byte_share& share, time_point now) : m_share(share) {
@@ -107,15 +109,21 @@
     byte_share& m_share;
 };
 
-// Bytes of one message, which stay in a share until this object is destroyed.
+// Bytes of one message, which stay in a share until this object is destroyed. Without a share,
+// nothing is counted.
 class byte_charge {
 public:
+    byte_charge() = default;
     explicit byte_charge(std::shared_ptr<byte_share> share) : m_share(std::move(share)) {}
     byte_charge(const byte_charge&) = delete;
     byte_charge& operator=(const byte_charge&) = delete;
     byte_charge(byte_charge&& other) noexcept
         : m_share(std::move(other.m_share)), m_bytes(std::exchange(other.m_bytes, 0)) {}
-    byte_charge& operator=(byte_charge&&) = delete;
+    byte_charge& operator=(byte_charge&& other) noexcept {
+        std::swap(m_share, other.m_share);
+        std::swap(m_bytes, other.m_bytes);
+        return *this;
+    }
     ~byte_charge() { resize(0); }
 
     // Sets the number of bytes. Returns false if the connection is rejected.
--- a/src/traffic/claims_over_http.cpp
+++ b/src/traffic/claims_over_http.cpp
@@ -189,16 +189,16 @@
     set_numeric_header(request, header::deadline_ms,
                        ms_left(control.deadline(), context.m_clock.now()));
     request.prepare_payload();
-    auto answer =
-        exchange(control, *open_connection, request, context.peer_limits(), nullptr, yield, reason);
+    auto answer = exchange(control, *open_connection, request, context.peer_limits(),
+                           context.m_budget, nullptr, yield, reason);
     if (!answer) {
         return std::nullopt;
     }
-    if (numeric_header_value(*answer, header::exchange) != number) {
+    if (numeric_header_value(answer->m_message, header::exchange) != number) {
         return fail(reason, error_kind::connection_cut, "the answer belongs to another request");
     }
     context.m_peer_pool.return_connection(std::move(open_connection));
-    return answer;
+    return std::move(answer->m_message);
 }
 
 } // namespace
--- a/src/traffic/connection_pool.cpp
+++ b/src/traffic/connection_pool.cpp
@@ -19,6 +19,19 @@
 // Buffer capacity in bytes beyond the header limit.
 constexpr std::size_t read_ahead_bytes = 64U << 10U;
 
+// Capacity in bytes of the read buffer that an idle connection keeps.
+constexpr std::size_t idle_buffer_bytes = 8U << 10U;
+
+// Frees memory of an empty buffer that has grown for a large answer, so that idle connections don't
+// hold it.
+void release_large_buffer(boost::beast::flat_buffer& buffer) {
+    if (buffer.capacity() > idle_buffer_bytes) {
+        buffer.clear();
+        buffer.shrink_to_fit();
+        buffer.reserve(idle_buffer_bytes);
+    }
+}
+
 // Closes the socket if the connection attempt takes too long. The timer handler may run after the
 // attempt has ended, so it holds a shared flag instead of a reference to this object.
 class connect_timeout_guard {
@@ -136,6 +149,7 @@
         peer_connection->m_buffer.size() != 0) {
         return;
     }
+    release_large_buffer(peer_connection->m_buffer);
     peer_connection->m_first_request = false;
     peer_connection->m_idle_since = m_clock.now();
     const std::lock_guard lock(m_mutex);
--- a/src/traffic/entry_side.cpp
+++ b/src/traffic/entry_side.cpp
@@ -135,22 +135,24 @@
         return matches_request(candidate, number, first_request);
     };
     const time_point sent_at = context.m_clock.now();
-    auto answer =
-        exchange(control, *peer_connection, request, context.peer_limits(), matches, yield, reason);
-    if (!answer) {
+    auto received = exchange(control, *peer_connection, request, context.peer_limits(),
+                             context.m_budget, matches, yield, reason);
+    if (!received) {
         return failed(true);
     }
     context.m_peer_pool.return_connection(std::move(peer_connection));
-    byte_counts.add(byte_purpose::call, scope, message_bytes(*answer));
+    http_response& answer = received->m_message;
+    byte_counts.add(byte_purpose::call, scope, message_bytes(answer));
     call_reply reply;
-    reply.m_reason = reported_error_kind(*answer);
+    reply.m_reason = reported_error_kind(answer);
     if (reply.m_reason == error_kind::internal) {
         fail(reason, error_kind::internal, "the next node states no outcome");
         return failed(true);
     }
     const time_point answered_at = context.m_clock.now();
-    update_backend_counters(context, call, backend, *answer, answered_at, answered_at - sent_at);
-    reply.m_message = std::move(*answer);
+    update_backend_counters(context, call, backend, answer, answered_at, answered_at - sent_at);
+    reply.m_message = std::move(answer);
+    reply.m_charge = std::move(received->m_charge);
     strip_hop_by_hop_headers(reply.m_message);
     reply.m_message.erase(std::string(header::exchange));
     const outcome stated = error_info_for(reply.m_reason).m_outcome;
--- a/src/traffic/served_connection.cpp
+++ b/src/traffic/served_connection.cpp
@@ -191,10 +191,12 @@
     return from_caller && is_idempotent_call(connection.m_context, request);
 }
 
-// Replaces the bytes charged for the request by those of its answer. The request isn't needed any
-// more. Returns false if the connection is rejected for the bytes that it holds.
-bool charge_answer(received_request& request, const call_reply& reply) {
+// Replaces the bytes charged for the request by those of its answer, which were charged to the
+// answer itself so far. The request isn't needed any more. Returns false if the connection is
+// rejected for the bytes that it holds.
+bool charge_answer(received_request& request, call_reply& reply) {
     request.m_request.body().clear();
+    reply.m_charge.resize(0);
     return request.m_charge.resize(message_bytes(reply.m_message));
 }
 
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -292,15 +292,15 @@
         request.set(http::field::host, "backend-server");
         auto open_connection = m_context.m_server_pool.open(
             *self, m_context.m_settings.m_backend_server, yield, reason);
-        std::optional<http_response> answer;
+        std::optional<received_answer> answer;
         if (open_connection) {
-            answer = exchange(*self, *open_connection, request, m_context.limits(), nullptr, yield,
-                              reason);
+            answer = exchange(*self, *open_connection, request, m_context.limits(),
+                              m_context.m_budget, nullptr, yield, reason);
             m_context.m_server_pool.return_connection(std::move(open_connection));
         }
         self->end_call();
         log_event(log_level::info, "health_probe",
-                  {{"status", answer ? answer->result_int() : 0U},
+                  {{"status", answer ? answer->m_message.result_int() : 0U},
                    {"reason", error_info_for(reason.m_kind).m_name},
                    {"text", reason.m_text}});
         self->stop();
--- a/src/traffic/traffic_context.hpp
+++ b/src/traffic/traffic_context.hpp
@@ -154,6 +154,7 @@
 // Response of the entry side or the backend side, with details for retries, logs and metrics.
 struct call_reply {
     http_response m_message;
+    byte_charge m_charge; // of a large message, until it is charged to its client's connection
     error_kind m_reason = error_kind::none; // none: complete response of the server
     bool m_sent = false;                    // the request may have reached a backend server
     std::string m_peer;                     // instance that ran or refused the call
--- a/tests/integration/held_bytes_test.py
+++ b/tests/integration/held_bytes_test.py
@@ -1,4 +1,4 @@
-"""Memory, descriptors and answers of a node whose clients stay outside the limits.
+"""Memory, descriptors and answers of a node whose clients or backend server stay outside the limits.
 
 The tests check only what doesn't depend on the speed of the machine: the process stays alive, its
 peak memory and its open descriptors stay under a bound, and one ordinary request is answered
@@ -12,7 +12,7 @@
 
 from harness import Harness, request, run_tests, wait_until
 from platform_mesh import Instance, config
-from platform_standins import PlatformStore
+from platform_standins import PlatformStore, ReportingServer
 
 READY_S = 10
 SEND_S = 20                # until a client gives up sending
@@ -26,6 +26,9 @@
 ADMIN_CONNECTIONS = 20     # above the limit of 16
 PEER_CONNECTIONS = 40
 LARGEST_BODY_BYTES = 64 << 20
+ANSWERS_AT_ONCE = 45       # of 3.9 MB each, below the limit of a single one
+ANSWER_BYTES = 3_900_000
+HOLD_S = 6                 # deadline of the calls whose answers never end
 
 TRAFFIC_SETTINGS = f"""
 [traffic]
@@ -54,11 +57,44 @@
         super().start()
 
 
+class HoardingServer(ReportingServer):
+    """Answers to /orders/FRAMING-END with a large body that goes on, but never ends: with a byte now
+    and then, or with nothing. Counts the calls that have got the large part."""
+    slots = 2 * ANSWERS_AT_ONCE
+
+    def __init__(self, *arguments, **named):
+        self.sent = 0
+        super().__init__(*arguments, **named)
+
+    def handle_request(self, handler, body):
+        framing, _, end = handler.path.rsplit("/", 1)[1].partition("-")
+        if not end:
+            return super().handle_request(handler, body)
+        head = "HTTP/1.1 200 OK\r\n" \
+               f"X-Carawaytray-Attempt-Id: {handler.headers['X-Carawaytray-Attempt-Id']}\r\n" \
+               f"X-Carawaytray-Server-Seal: {self.instance_id}\r\n"
+        head += {"length": f"Content-Length: {ANSWER_BYTES + 1000}\r\n", "none": "",
+                 "chunked": "Transfer-Encoding: chunked\r\n"}[framing]
+        chunk = b"1000\r\n" + bytes(0x1000) + b"\r\n" if framing == "chunked" else bytes(0x1000)
+        more = b"1\r\nx\r\n" if framing == "chunked" else b"x"
+        handler.close_connection = True
+        try:
+            handler.connection.sendall(head.encode() + b"\r\n")
+            for _ in range(ANSWER_BYTES // 0x1000):
+                handler.connection.sendall(chunk)
+            self.sent += 1
+            for _ in range(HOLD_S):
+                time.sleep(1)
+                handler.connection.sendall(more if end == "trickle" else b"")
+        except OSError:
+            pass  # the node has closed the connection
+
+
 class LoadedNode:
     """One node with a backend server, and the open connections of its clients."""
 
-    def __init__(self, limits=None):
-        self.limits = limits
+    def __init__(self, limits=None, server_class=ReportingServer):
+        self.limits, self.server_class = limits, server_class
 
     def __enter__(self):
         self.harness = Harness()
@@ -68,7 +104,8 @@
         if self.limits:
             text["limits"] = self.limits
         store.put("op/config", json.dumps(text))
-        self.instance = LimitedInstance(self.harness, store, "orders-north", "orders", "north")
+        self.instance = LimitedInstance(self.harness, store, "orders-north", "orders", "north",
+                                        self.server_class)
         wait_until(self.instance.ready, READY_S, "ready")
         wait_until(lambda: self.instance.call("/orders/x")[0] == 200, READY_S, "first call")
         self.clients = []
@@ -280,10 +317,42 @@
         return node.check()
 
 
+def check_endless_answers(framing):
+    """Lets many calls at once get an answer that doesn't end, and makes an ordinary call beside
+    them."""
+    with LoadedNode(server_class=HoardingServer) as node, \
+            concurrent.futures.ThreadPoolExecutor(ANSWERS_AT_ONCE) as pool:
+        for end in ("trickle", "silence"):
+            calls = [pool.submit(node.instance.call, f"/orders/{framing}-{end}", b"", HOLD_S * 1000)
+                     for _ in range(ANSWERS_AT_ONCE)]
+            time.sleep(HOLD_S / 2)
+            node.check()
+            statuses = [call.result()[0] for call in calls]
+            assert set(statuses) <= {502, 503, 504}, statuses
+        return f"{node.instance.server.sent} large answers, " + node.check()
+
+
+def test_endless_answers_without_a_length():
+    """Guards against a process that runs out of memory because its server sends answers that never
+    end to many calls at once."""
+    return check_endless_answers("none")
+
+
+def test_endless_answers_with_a_length():
+    """Guards against the same with a length that isn't reached."""
+    return check_endless_answers("length")
+
+
+def test_endless_answers_in_chunks():
+    """Guards against the same with chunks without end."""
+    return check_endless_answers("chunked")
+
+
 if __name__ == "__main__":
-    run_tests([test_stalled_bodies_of_callers, test_stalled_chunked_bodies_of_callers,
-               test_stalled_bodies_at_the_traffic_port, test_one_byte_chunks, test_unread_answers,
-               test_silent_connections, test_unfinished_heads,
-               test_endless_heads_extensions_and_trailers, test_largest_body,
+    run_tests([test_endless_answers_without_a_length, test_endless_answers_with_a_length,
+               test_endless_answers_in_chunks, test_stalled_bodies_of_callers,
+               test_stalled_chunked_bodies_of_callers, test_stalled_bodies_at_the_traffic_port,
+               test_one_byte_chunks, test_unread_answers, test_silent_connections,
+               test_unfinished_heads, test_endless_heads_extensions_and_trailers, test_largest_body,
                test_silent_connections_at_admin_and_reports,
                test_large_bodies_at_admin_and_reports, test_peer_port])
--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -250,6 +250,7 @@
 class ReportingServer:
     """A backend server that seals its answers, that is, states its instance in them, and reports
     itself to the node beside it."""
+    slots = 4
 
     def __init__(self, service, data_centre, reports_address, version="v1", port=0,
                  instance_id=None):
@@ -303,7 +304,7 @@
         return json.dumps({
             "address": self.address, "born": self.started_ms,
             "info": {"service": self.service, "version": self.version,
-                     "zone": self.data_centre, "slots": 4},
+                     "zone": self.data_centre, "slots": self.slots},
             "status": {"state": self.state, "call_seq": self.sequence, "warmup_left_ms": 0}})
 
     def report(self, value=None):
