Read the store's answers with the same limits and checks as those of servers

What happens: the store sends bytes without end in the line before a chunk or in a trailer. The node keeps them all until the call's time is over, and its process runs out of memory. An answer with a line that begins with a blank was taken as a value, whatever that line stated. After an interim answer (1xx) the call counted as failed and its real answer was dropped or left on the connection. A connection on which bytes followed an answer was used again, so that they could be taken for part of the next answer.

Cause: store_client read answers with Boost.Beast's http::async_read() into a buffer without a limit. Beast limits a head and a body, but not a chunk line or a trailer, ends at an interim answer, and leaves bytes after the answer in the buffer, which was dropped with them.

Change: store_client reads with answer_reader, as exchange() does, into a buffer of 128 KiB. An invalid answer counts as store unreachable, or as outcome unknown after a write. Up to 16 interim answers are dropped. The connection is used again only if no bytes follow the answer.

Why it works: each part of an answer has a limit before it is kept, and an answer is complete only by its own framing or an orderly end.

--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -12,6 +12,7 @@
 #include "base/dead_peer.hpp"
 #include "store/store_era.hpp"
 #include "store/store_version.hpp"
+#include "traffic/answer_reader.hpp"
 
 namespace caraway {
 namespace {
@@ -27,6 +28,13 @@
 // Maximum size of a reply body. Large enough for a list of 100 verdicts (see ctl/records.hpp) and
 // for one value of a megabyte as escaped JSON.
 constexpr std::size_t max_reply_bytes = 8U << 20U;
+constexpr exchange_limits answer_limits{16U << 10U, max_reply_bytes};
+// Capacity of the read buffer in bytes, and bytes read at once at most. A chunk line or a trailer
+// has to fit into the buffer.
+constexpr std::size_t max_buffer_bytes = 128U << 10U;
+constexpr std::size_t max_read_bytes = 64U << 10U;
+// Maximum number of interim (1xx) answers before the final one.
+constexpr int max_interim_answers = 16;
 // Time that a watch may take in addition to the wait in its request.
 constexpr milliseconds watch_timeout_margin{1'000};
 
@@ -42,15 +50,15 @@
 struct http_exchange {
     error_kind m_kind = error_kind::none;
     std::string m_error_text;
-    http::response<http::string_body> m_response;
+    http_response m_response;
     std::uint64_t m_sent = 0;
     std::uint64_t m_received = 0;
+    bool m_reusable = false; // the connection can carry another request
 };
 
 // Returns the era that a response states. A malformed header counts as the earliest era, so that
 // the response is ignored if a later one is known.
-std::uint64_t stated_era(const store_codec& codec,
-                         const http::response<http::string_body>& response) {
+std::uint64_t stated_era(const store_codec& codec, const http_response& response) {
     if (codec.m_era_header.empty()) {
         return 0;
     }
@@ -73,6 +81,35 @@
                                     finished.m_response.body()});
 }
 
+// Reads from the connection until the answer is complete, and counts the bytes. Returns false with
+// the reason if it is invalid or ended early.
+bool read_answer(beast::tcp_stream& stream, beast::flat_buffer& buffer, answer_reader& reader,
+                 std::uint64_t& received, const asio::yield_context& yield, error& reason) {
+    while (true) {
+        const std::string_view bytes(static_cast<const char*>(buffer.data().data()), buffer.size());
+        buffer.consume(reader.parse(bytes, reason));
+        if (reason.m_kind != error_kind::none || reader.is_done()) {
+            return reason.m_kind == error_kind::none;
+        }
+        const std::size_t size = beast::read_size(buffer, max_read_bytes);
+        if (size == 0) {
+            fail(reason, error_kind::answer_invalid, "a line is above the limit");
+            return false;
+        }
+        beast::error_code ec;
+        const std::size_t added = stream.async_read_some(buffer.prepare(size), yield[ec]);
+        buffer.commit(added);
+        received += added;
+        if (ec == asio::error::eof && reader.end()) {
+            return true;
+        }
+        if (ec) {
+            fail(reason, error_kind::answer_truncated, ec.message());
+            return false;
+        }
+    }
+}
+
 } // namespace
 
 class store_client::impl : public std::enable_shared_from_this<store_client::impl> {
@@ -161,30 +198,47 @@
         request.prepare_payload();
         stream->expires_after(call.m_timeout);
         out.m_sent = http::async_write(*stream, request, yield[ec]);
-        if (!ec) {
-            beast::flat_buffer buffer;
-            http::response_parser<http::string_body> parser;
-            parser.body_limit(max_reply_bytes);
-            out.m_received = http::async_read(*stream, buffer, parser, yield[ec]);
-            out.m_response = parser.release();
-        }
         if (ec) {
+            out.m_error_text = ec.message();
+        }
+        if (ec || !receive_answer(*stream, request.method(), out, yield)) {
             // The store may have stopped answering on the idle connections, too.
             m_idle_connections.clear();
             out.m_kind = is_read(call.m_command.m_operation) || out.m_sent == 0
                              ? error_kind::store_unreachable
                              : error_kind::store_outcome_unknown;
-            out.m_error_text = ec.message();
             return out;
         }
-        if (out.m_response.keep_alive() && m_idle_connections.size() < max_idle_connections &&
-            !m_stopped) {
+        if (out.m_reusable && m_idle_connections.size() < max_idle_connections && !m_stopped) {
             stream->expires_never();
             m_idle_connections.push_back(std::move(stream));
         }
         return out;
     }
 
+    // Reads the final answer to a request; interim ones are dropped. Returns false with the text of
+    // the error if there is none.
+    static bool receive_answer(beast::tcp_stream& stream, http::verb method, http_exchange& out,
+                               const asio::yield_context& yield) {
+        beast::flat_buffer buffer(max_buffer_bytes);
+        for (int interim = 0; interim <= max_interim_answers; ++interim) {
+            answer_reader reader(method, answer_limits);
+            error reason;
+            if (!read_answer(stream, buffer, reader, out.m_received, yield, reason)) {
+                out.m_error_text = reason.m_text;
+                return false;
+            }
+            if (reader.answer().result_int() / 100 != 1) {
+                // Bytes after the answer would be taken for the next one.
+                out.m_reusable = reader.keeps_connection() && buffer.size() == 0;
+                out.m_response = reader.release();
+                return true;
+            }
+        }
+        out.m_error_text = "too many interim answers came before the final one";
+        return false;
+    }
+
     std::unique_ptr<beast::tcp_stream> connect(const asio::yield_context& yield,
                                                beast::error_code& ec) {
         auto stream = std::make_unique<beast::tcp_stream>(m_context);
--- a/src/traffic/answer_reader.hpp
+++ b/src/traffic/answer_reader.hpp
@@ -1,5 +1,5 @@
-// Parses one answer of a backend server or another node from bytes that arrive in any split, within
-// limits. Does no I/O.
+// Parses one answer of a backend server, another node or the store from bytes that arrive in any
+// split, within limits. Does no I/O.
 #pragma once
 
 #include <cstdint>
--- a/tests/integration/held_bytes_test.py
+++ b/tests/integration/held_bytes_test.py
@@ -99,7 +99,7 @@
     def __enter__(self):
         self.harness = Harness()
         self.harness.__enter__()
-        store = PlatformStore()
+        self.store = store = PlatformStore()
         text = json.loads(config(5, ROUTES))
         if self.limits:
             text["limits"] = self.limits
@@ -348,10 +348,29 @@
     return check_endless_answers("chunked")
 
 
+def test_endless_answers_of_the_store():
+    """Guards against a process that runs out of memory because the store sends bytes without end to
+    all its calls."""
+    ok, chunked = b"HTTP/1.1 200 OK\r\n", b"Transfer-Encoding: chunked\r\n\r\n"
+    filler = b"a" * 100_000
+    with LoadedNode() as node:
+        for answer in ((ok, b"x-more: a\r\n" * 10_000), (ok + b"\r\n", filler),
+                       (ok + chunked, b"186a0\r\n" + filler + b"\r\n"),
+                       (ok + chunked + b"1;a=", filler), (ok + chunked, b"0" * 100_000),
+                       (ok + chunked + b"0\r\nx-more: ", filler), (b"", filler)):
+            node.store.endless = answer
+            time.sleep(2)
+            node.check()
+        node.store.endless = None
+        wait_until(node.instance.ready, READY_S, "ready again")
+        return node.check()
+
+
 if __name__ == "__main__":
     run_tests([test_endless_answers_without_a_length, test_endless_answers_with_a_length,
-               test_endless_answers_in_chunks, test_stalled_bodies_of_callers,
-               test_stalled_chunked_bodies_of_callers, test_stalled_bodies_at_the_traffic_port,
+               test_endless_answers_in_chunks, test_endless_answers_of_the_store,
+               test_stalled_bodies_of_callers, test_stalled_chunked_bodies_of_callers,
+               test_stalled_bodies_at_the_traffic_port,
                test_one_byte_chunks, test_unread_answers, test_silent_connections,
                test_unfinished_heads, test_endless_heads_extensions_and_trailers, test_largest_body,
                test_silent_connections_at_admin_and_reports,
--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -1,8 +1,9 @@
 """Stand-ins of the platform: its key-value store and backend servers that report themselves.
 
 Both run as threads of the test. The store keeps items with revisions, and supports watches,
-conditional writes and leases; with down set it refuses every call, with silent set it loses it. It
-can be restored from a copy, which loses all later writes and leases and assigns their revisions
+conditional writes and leases; with down set it refuses every call, with silent set it loses it, and
+with endless set to a start and a part that repeats it answers with bytes without end. It can be
+restored from a copy, which loses all later writes and leases and assigns their revisions
 again.
 """
 import base64
@@ -71,6 +72,7 @@
         self.era = 0  # number of restorations; answers name it after the first one
         self.copied = None  # what a restoration brings back
         self.end_watches = True  # whether a restoration ends waiting watches
+        self.endless = None
         self.hidden_key_parts = ()  # lists omit keys that contain one of these parts
         self.changed = threading.Condition()
         store = self
@@ -164,6 +166,8 @@
     def handle_read(self, handler):
         if self.silent:
             return self._lose(handler)
+        if self.endless:
+            return self._send_without_end(handler, *self.endless)
         self.calls += 1
         url = urllib.parse.urlsplit(handler.path)
         query = dict(urllib.parse.parse_qsl(url.query))
@@ -209,9 +213,21 @@
         handler.rfile.read()
         handler.close_connection = True
 
+    @staticmethod
+    def _send_without_end(handler, start, more):
+        handler.close_connection = True
+        try:
+            handler.connection.sendall(start)
+            while True:
+                handler.connection.sendall(more)
+        except OSError:
+            pass  # the node has closed the connection
+
     def handle_write(self, handler, body):
         if self.silent:
             return self._lose(handler)
+        if self.endless:
+            return self._send_without_end(handler, *self.endless)
         self.calls += 1
         if self.down:
             return handler.reply(503)
