End all calls in time in a planned stop, also those behind another one on their connection

What happens: an instance gets SIGTERM while it works on idempotent requests that a caller sent before earlier ones were answered. They are not ended at five sixths of the drain timeout like other calls. They run until the process stops, and their connection ends without an answer. The process stays for up to 2 s after the end of the drain timeout, and the platform may kill it.

Cause: a request that is started before its turn has a call_control of its own, which was in no set of controls. So end_calls_by() didn't limit its deadline, and the stop didn't end it. Its timer also stayed armed until the call's deadline after the call had ended, and kept the threads that the stop waits for.

Change: these calls are in the set m_early_calls, which end_calls_by() and the stop use like the set of connections. The timer is cancelled when the call has ended (end_last_call).

Why it works: each call that a server is working on is now in one of the two sets; a call that begins later takes its deadline from end_calls_by() already.

--- a/src/traffic/call_control.cpp
+++ b/src/traffic/call_control.cpp
@@ -77,6 +77,11 @@
     }
 }
 
+void call_control::end_last_call() {
+    end_call();
+    m_timer.cancel();
+}
+
 void call_control::cancel_call() {
     if (m_in_call) {
         m_cancelled = true;
--- a/src/traffic/call_control.hpp
+++ b/src/traffic/call_control.hpp
@@ -53,6 +53,9 @@
     void limit_running_call(time_point latest);
     // Ends the call and removes its deadline. The connection's own time limit has to be set again.
     void end_call();
+    // Ends the call, and cancels the timer, which would otherwise keep this object and the threads
+    // of a server that is stopped until it fires. For a control that carries no further call.
+    void end_last_call();
     // Cancels the running call, if any, as if the caller had closed the connection.
     void cancel_call();
     // Sets the function that is called on the strand when bytes of the next request arrive while a
--- a/src/traffic/served_connection.cpp
+++ b/src/traffic/served_connection.cpp
@@ -207,9 +207,10 @@
     spawn_coroutine(
         *early->m_early_call, [connection, early](const auto& self, asio::yield_context yield) {
             const completion_notifier notifier(early->m_early_call_ended, *connection->m_control);
+            const control_registration registration(connection->m_context.m_early_calls, self);
             early->m_early_reply = dispatch(*connection, *self, early->m_request, yield);
             charge_answer(*early, early->m_early_reply);
-            self->end_call();
+            self->end_last_call();
         });
 }
 
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -143,6 +143,7 @@
         m_context.m_peer_pool.close_all();
         m_context.m_server_pool.close_all();
         m_context.m_connections.stop_all();
+        m_context.m_early_calls.stop_all();
         m_context.m_background.stop_all();
     });
     {
@@ -355,6 +356,7 @@
 void traffic_server::end_calls_by(time_point latest) {
     m_impl->context().m_calls_end_by.store(latest, std::memory_order_relaxed);
     m_impl->context().m_connections.limit_deadlines(latest);
+    m_impl->context().m_early_calls.limit_deadlines(latest);
 }
 
 std::size_t traffic_server::calls_in_progress() const {
--- a/src/traffic/traffic_context.hpp
+++ b/src/traffic/traffic_context.hpp
@@ -84,6 +84,7 @@
     link_pacer m_link_pacer;
     key_tables m_keys;
     control_set m_connections; // of callers and other nodes
+    control_set m_early_calls; // that run before earlier requests of their connection have ended
     control_set m_background;  // of work that doesn't belong to an incoming connection
     waiting_calls m_config_waiting{max_config_waiting};
 
--- a/tests/pipeline_test.cpp
+++ b/tests/pipeline_test.cpp
@@ -111,6 +111,27 @@
     BOOST_TEST(!second.keep_alive());
 }
 
+// Guards against a planned shutdown that ends calls by a time, except for those that were started
+// before earlier requests of their connection had ended: they were cut off without an answer.
+BOOST_AUTO_TEST_CASE(ending_calls_includes_those_behind_another_one) {
+    const time_point start = m_clock.now();
+    caller connection(entry());
+    connection.send("/again/hang");
+    connection.send("/again/hang");
+    const auto runs = [this] { return static_cast<std::size_t>(m_backend_server.runs()); };
+    BOOST_TEST(wait_for_value(runs, 2) == 2U);
+    entry().m_server->end_calls_by(m_clock.now() + milliseconds(100));
+    for (int i = 0; i < 2; ++i) {
+        BOOST_TEST(outcome_and_reason(connection.receive()) == "unknown/deadline-after-send");
+    }
+    // The routes' timeout is 1 s.
+    BOOST_TEST((m_clock.now() - start < milliseconds(900)));
+    // No timer of an ended call keeps the server's threads.
+    const time_point stopped = m_clock.now();
+    entry().m_server.reset();
+    BOOST_TEST((m_clock.now() - stopped < milliseconds(400)));
+}
+
 // Guards against a malformed request that discards the answers to the requests before it.
 BOOST_AUTO_TEST_CASE(bad_request_is_refused_in_its_turn) {
     caller connection(entry());
