Take new requests for at most half of the drain timeout in a planned stop

What happens: with an announce time that isn't well below the drain timeout (2.9 s and 3 s, for example after a change of the settings), an instance that is stopped takes requests and passes them on until the end. They are broken off while their server works on them, also those that may not be repeated.

Cause: the time for which a leaving node takes new requests didn't depend on the time that is left for answering them.

Change: it is announce_time, but at most half of drain_timeout. The deployments' settings (2.9 s and 6 s) keep their behaviour.

Why it works: a request that is taken has at least a third of the drain timeout until all calls are ended, at five sixths; a later one is refused at once as not run.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <random>
 
 #include "base/hash.hpp"
@@ -157,7 +158,9 @@
         m_drain_deadline =
             now + m_state.m_settings.m_drain_timeout * 9 / 10; // the rest is for exiting
         m_state.m_traffic->end_calls_by(now + m_state.m_settings.m_drain_timeout * 5 / 6);
-        m_refuse_at = now + m_state.m_settings.m_announce_time;
+        // New work gets at least half of the drain timeout to end.
+        m_refuse_at = now + std::min<duration>(m_state.m_settings.m_announce_time,
+                                               m_state.m_settings.m_drain_timeout / 2);
         m_earliest_stop = std::max(now + min_drain_time, m_refuse_at + refusal_time);
         m_state.m_leaving = true;
         log_event(log_level::info, "leaving", {});
--- a/tests/integration/late_stop_test.py
+++ b/tests/integration/late_stop_test.py
@@ -11,6 +11,7 @@
 
 READY_S = 10
 GRACE_S = 6              # from SIGTERM until the platform would kill the process
+SHORT_GRACE_S = 3
 ANNOUNCE_MS = 2900       # setting: new requests are taken for this long
 LOSS_SLACK_S = 0.2       # a request that is cut off sooner has crossed the close
 TIMEOUT_MS = 8000        # longer than the grace
@@ -54,6 +55,10 @@
         super().start()
 
 
+class ShortInstance(StoppingInstance):
+    grace_s = SHORT_GRACE_S
+
+
 class Sent:
     """A request and what became of it: a status, or None if its connection ended."""
 
@@ -267,6 +272,15 @@
                                       for send_s in (0.7, 2, 3.5, 5)])
 
 
+def test_short_grace():
+    """Guards against requests that are taken for as long as usual although the grace ends before
+    they can be answered."""
+    with Mesh(ShortInstance) as mesh:
+        return stop_under_load(mesh, [one_after_the_other(mesh, f"/{service}/{work}")
+                                      for service in ("orders", "stock") for work in WORK_MS
+                                      for _ in range(3)])
+
+
 if __name__ == "__main__":
     run_tests([test_kept_connections, test_new_connections, test_pipelined_requests,
-               test_slow_uploads], max_parallel=2)
+               test_slow_uploads, test_short_grace], max_parallel=2)
