Take calls of the own server in a planned stop only while they can still be answered

What happens: while an instance is stopped, its server makes calls for the work that it still finishes. These were taken and passed on until all calls were ended, at five sixths of the drain timeout, and broken off there with 504 while their servers worked on them, also those that may not be repeated. A call from another node ended some milliseconds before that point.

Nodes give each other deadlines that are 5 ms earlier than their own.

Change: onward calls are refused as not run from two thirds of drain_timeout on. Calls end at 17/20 of it, which is within the last sixth also for other nodes; the process stops at 9/10 as before.

Why it works: an onward call that is taken has at least 11/60 of the drain timeout, 1.1 s of 6 s. What is refused would have been ended at the same point as the work that it serves.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -155,12 +155,13 @@
             return;
         }
         const time_point now = m_state.now();
-        m_drain_deadline =
-            now + m_state.m_settings.m_drain_timeout * 9 / 10; // the rest is for exiting
-        m_state.m_traffic->end_calls_by(now + m_state.m_settings.m_drain_timeout * 5 / 6);
+        const duration timeout = m_state.m_settings.m_drain_timeout;
+        m_drain_deadline = now + timeout * 9 / 10; // the rest is for exiting
+        // A call may be ended in the last sixth. Other nodes end those that they got from here some
+        // milliseconds earlier than this node.
+        m_state.m_traffic->end_calls_by(now + timeout * 17 / 20, now + timeout * 2 / 3);
         // New work gets at least half of the drain timeout to end.
-        m_refuse_at = now + std::min<duration>(m_state.m_settings.m_announce_time,
-                                               m_state.m_settings.m_drain_timeout / 2);
+        m_refuse_at = now + std::min<duration>(m_state.m_settings.m_announce_time, timeout / 2);
         m_earliest_stop = std::max(now + min_drain_time, m_refuse_at + refusal_time);
         m_state.m_leaving = true;
         log_event(log_level::info, "leaving", {});
--- a/src/traffic/entry_side.cpp
+++ b/src/traffic/entry_side.cpp
@@ -376,9 +376,8 @@
     if (call.m_info.m_hop > max_hops) {
         return refused(error_kind::hop_limit, "the chain of calls is too deep");
     }
-    // Onward calls belong to work in progress, which an instance that is leaving still finishes.
-    if (call.m_info.m_hop <= 1 &&
-        (context.m_draining.load(std::memory_order_relaxed) || call.m_snapshot->m_draining)) {
+    const bool onward = call.m_info.m_hop > 1;
+    if (context.refuses_as_leaving(onward) || (!onward && call.m_snapshot->m_draining)) {
         return refused(error_kind::draining, "the instance is leaving");
     }
     if (route == nullptr) {
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -353,7 +353,8 @@
     m_impl->context().m_gate.drain();
 }
 
-void traffic_server::end_calls_by(time_point latest) {
+void traffic_server::end_calls_by(time_point latest, time_point last_onward) {
+    m_impl->context().m_last_onward.store(last_onward, std::memory_order_relaxed);
     m_impl->context().m_calls_end_by.store(latest, std::memory_order_relaxed);
     m_impl->context().m_connections.limit_deadlines(latest);
     m_impl->context().m_early_calls.limit_deadlines(latest);
--- a/src/traffic/traffic.hpp
+++ b/src/traffic/traffic.hpp
@@ -53,12 +53,13 @@
     void trust_snapshot_until(time_point until);
 
     // From now on, answers new calls and calls that wait for a slot with an error that states that
-    // they did not run. Running calls and their onward calls continue.
+    // they did not run. Running calls and their onward calls continue; see end_calls_by.
     void drain();
 
     // Ends all calls by this time with an answer, so that a process that exits soon after it cuts
-    // none off.
-    void end_calls_by(time_point latest);
+    // none off. Onward calls are refused from last_onward on, so that those that are taken have
+    // time to be answered.
+    void end_calls_by(time_point latest, time_point last_onward);
 
     // Returns the number of calls that are running or whose response is still being sent.
     std::size_t calls_in_progress() const;
--- a/src/traffic/traffic_context.hpp
+++ b/src/traffic/traffic_context.hpp
@@ -90,6 +90,7 @@
 
     std::atomic<bool> m_draining{false};
     std::atomic<time_point> m_calls_end_by{time_point::max()};  // see end_calls_by
+    std::atomic<time_point> m_last_onward{time_point::max()};   // see end_calls_by
     std::atomic<time_point> m_trusted_until{time_point::max()}; // see trust_snapshot_until
     std::atomic<std::size_t> m_in_progress{0};
     std::atomic<std::int64_t> m_last_call_end_us{0}; // steady clock; used by the health probe
@@ -123,6 +124,12 @@
     bool snapshot_is_stale() const {
         return m_clock.now() > m_trusted_until.load(std::memory_order_relaxed);
     }
+    // Returns true if a call that begins now is refused because the instance is leaving. Onward
+    // calls belong to work in progress, which a leaving instance still finishes.
+    bool refuses_as_leaving(bool onward) const {
+        return onward ? m_clock.now() >= m_last_onward.load(std::memory_order_relaxed)
+                      : m_draining.load(std::memory_order_relaxed);
+    }
     // Returns the deadline of a call that may take this long, at most the end of all calls.
     time_point deadline_of(time_point now, duration allowed) const {
         return std::min(now + allowed, m_calls_end_by.load(std::memory_order_relaxed));
--- a/tests/integration/late_stop_test.py
+++ b/tests/integration/late_stop_test.py
@@ -1,5 +1,6 @@
 """Requests that arrive at any time of a planned stop: each is answered, or refused as not run. Real
 nodes on the platform, with the settings of its deployments."""
+import itertools
 import socket
 import threading
 import time
@@ -15,6 +16,7 @@
 ANNOUNCE_MS = 2900       # setting: new requests are taken for this long
 LOSS_SLACK_S = 0.2       # a request that is cut off sooner has crossed the close
 TIMEOUT_MS = 8000        # longer than the grace
+DEADLINE_MARGIN_MS = 20  # kept by the nodes for the way of the answer
 RECONNECT_PAUSE_S = 0.05
 WORK_MS = (50, 1000, 2000, 3500, 7000)
 ROUTES = [(f"/{service}/", kind, {"service": service, "timeout_ms": TIMEOUT_MS,
@@ -29,6 +31,7 @@
 
     def __init__(self, *arguments, **named):
         self.run_times = {}
+        self.call_onward = None  # makes one call through the own node for the given attempt
         super().__init__(*arguments, **named)
 
     def handle_request(self, handler, body):
@@ -36,8 +39,12 @@
         if work.isdigit():
             begun = time.monotonic()
             attempt = handler.headers["X-Carawaytray-Attempt-Id"]
-            self.run_times[attempt] = (begun, begun + int(work) / 1000)
-            time.sleep(int(work) / 1000)
+            done = begun + int(work) / 1000
+            self.run_times[attempt] = (begun, done)
+            stops_at = begun + int(handler.headers["X-Carawaytray-Deadline-Ms"]) / 1000
+            while "/calls/" in handler.path and time.monotonic() < min(done, stops_at):
+                self.call_onward(attempt, stops_at)
+            time.sleep(max(0, done - time.monotonic()))
         return super().handle_request(handler, body)
 
 
@@ -62,14 +69,15 @@
 class Sent:
     """A request and what became of it: a status, or None if its connection ended."""
 
-    def __init__(self, path):
-        self.path, self.attempt = path, uuid.uuid4().hex[:16]
+    def __init__(self, path, parent="", deadline_ms=TIMEOUT_MS):
+        self.path, self.deadline_ms = path, deadline_ms
+        self.attempt = (parent + "." if parent else "") + uuid.uuid4().hex[:16]
         self.sent_at = self.ended_at = self.status = None
 
     def bytes(self, body=b""):
         return (f"{'POST' if body else 'GET'} {self.path} HTTP/1.1\r\nHost: shop.example\r\n"
                 f"X-Carawaytray-Attempt-Id: {self.attempt}\r\n"
-                f"X-Carawaytray-Deadline-Ms: {TIMEOUT_MS}\r\n"
+                f"X-Carawaytray-Deadline-Ms: {self.deadline_ms}\r\n"
                 f"Content-Length: {len(body)}\r\n\r\n").encode() + body
 
     def end(self, status=None):
@@ -104,8 +112,8 @@
             instance.server.stopped.set()
         self.harness.__exit__(kind, value, trace)
 
-    def add(self, path):
-        request = Sent(path)
+    def add(self, path, *parent):
+        request = Sent(path, *parent)
         with self.lock:
             self.sent.append(request)
         return request
@@ -129,8 +137,9 @@
             # The server was still at work in the last sixth of the grace, on a request that was
             # sent in its first half.
             long_work = done is not None and done - stopped_at > self.grace_s * 5 / 6
-            excused = sent_s <= self.grace_s / 2 and long_work
             held_s = request.ended_at - request.sent_at
+            excused = (sent_s <= self.grace_s / 2 and long_work) or \
+                held_s * 1000 >= request.deadline_ms - DEADLINE_MARGIN_MS
             if request.status is None:
                 lost = begun is not None or held_s > LOSS_SLACK_S
             elif request.status == 200:
@@ -272,6 +281,25 @@
                                       for send_s in (0.7, 2, 3.5, 5)])
 
 
+def test_onward_calls():
+    """Guards against calls of the server for work in progress that are cut off at the end of the
+    grace."""
+    with Mesh() as mesh:
+        def call_onward(path, parent, stops_at):
+            left_ms = int((stops_at - time.monotonic()) * 1000)
+            if left_ms > 0:
+                with mesh.connect() as connection, connection.makefile("rb") as answers:
+                    request = mesh.add(path, parent, left_ms)
+                    connection.sendall(request.bytes(b"x"))
+                    request.sent_at = time.monotonic()
+                    read_answer(answers, request)
+        paths = itertools.cycle(["/orders/50", "/stock/50", "/orders/300", "/stock/300"])
+        mesh.stopping.server.call_onward = \
+            lambda parent, stops_at: call_onward(next(paths), parent, stops_at)
+        return stop_under_load(mesh, [one_after_the_other(mesh, f"/orders/calls/{work}")
+                                      for work in WORK_MS for _ in range(3)])
+
+
 def test_short_grace():
     """Guards against requests that are taken for as long as usual although the grace ends before
     they can be answered."""
@@ -283,4 +311,4 @@
 
 if __name__ == "__main__":
     run_tests([test_kept_connections, test_new_connections, test_pipelined_requests,
-               test_slow_uploads, test_short_grace], max_parallel=2)
+               test_slow_uploads, test_onward_calls, test_short_grace], max_parallel=2)
--- a/tests/pipeline_test.cpp
+++ b/tests/pipeline_test.cpp
@@ -120,7 +120,7 @@
     connection.send("/again/hang");
     const auto runs = [this] { return static_cast<std::size_t>(m_backend_server.runs()); };
     BOOST_TEST(wait_for_value(runs, 2) == 2U);
-    entry().m_server->end_calls_by(m_clock.now() + milliseconds(100));
+    entry().m_server->end_calls_by(m_clock.now() + milliseconds(100), m_clock.now());
     for (int i = 0; i < 2; ++i) {
         BOOST_TEST(outcome_and_reason(connection.receive()) == "unknown/deadline-after-send");
     }
--- a/tests/traffic_test.cpp
+++ b/tests/traffic_test.cpp
@@ -360,7 +360,7 @@
     waiting.send("/once/slow");
     BOOST_TEST(wait_for_value([&server] { return server.slow_started(); }, 1U) == 1U);
     const system_clock_source clock;
-    m_nodes.front()->m_server->end_calls_by(clock.now() + milliseconds(100));
+    m_nodes.front()->m_server->end_calls_by(clock.now() + milliseconds(100), clock.now());
     BOOST_TEST(outcome_and_reason(waiting.receive()) == "unknown/deadline-after-send");
     BOOST_TEST(outcome_and_reason(caller(entry()).call("/once/slow")) ==
                "deadline/deadline-before-send");
