Share the limits of reading answers, and the parts of the tests that stood twice (no change of behaviour)

exchange() and the store's client use the same constants for the size of a read and the number of interim answers. The fixture of the traffic tests has the function that puts a stand-in in the place of a node, which stood three times.

--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -29,12 +29,8 @@
 // for one value of a megabyte as escaped JSON.
 constexpr std::size_t max_reply_bytes = 8U << 20U;
 constexpr exchange_limits answer_limits{16U << 10U, max_reply_bytes};
-// Capacity of the read buffer in bytes, and bytes read at once at most. A chunk line or a trailer
-// has to fit into the buffer.
+// Capacity of the read buffer in bytes. A chunk line or a trailer has to fit into it.
 constexpr std::size_t max_buffer_bytes = 128U << 10U;
-constexpr std::size_t max_read_bytes = 64U << 10U;
-// Maximum number of interim (1xx) answers before the final one.
-constexpr int max_interim_answers = 16;
 // Time that a watch may take in addition to the wait in its request.
 constexpr milliseconds watch_timeout_margin{1'000};
 
--- a/src/traffic/answer_reader.hpp
+++ b/src/traffic/answer_reader.hpp
@@ -16,6 +16,12 @@
     std::uint64_t m_max_body_bytes = 1U << 20U;
 };
 
+// Bytes read from a connection at once at most.
+constexpr std::size_t max_read_bytes = 64U << 10U;
+// Maximum number of interim (1xx) answers before the final one, so that a call to a server that
+// sends them endlessly fails.
+constexpr int max_interim_answers = 16;
+
 // Reads one answer, which may be an interim one. Holds at most the bytes of its head and body.
 class answer_reader {
 public:
--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -17,15 +17,10 @@
 constexpr double idle_timeout_fraction = 0.6;
 // Number of answers to earlier requests that are dropped before the exchange fails.
 constexpr int max_mismatched_answers = 2;
-// Maximum number of interim (1xx) answers before the final one, so that an exchange with a server
-// that sends them endlessly fails.
-constexpr int max_interim_answers = 16;
 // Longest time without a byte from the peer within an answer that has begun. It is longer than the
 // pauses of a server that still works (slow periods of 600 ms) and of a lost segment that is sent
 // again. Before the answer begins, only the call's deadline applies.
 constexpr milliseconds max_answer_pause{5'000};
-// Bytes read at once at most.
-constexpr std::size_t max_read_bytes = 64U << 10U;
 // Bytes that count as progress when the budget compares answers. A server that sends single bytes
 // makes no progress.
 constexpr std::uint64_t min_progress_bytes = 4U << 10U;
--- a/tests/answer_end_test.cpp
+++ b/tests/answer_end_test.cpp
@@ -61,14 +61,11 @@
     return {parts[2], std::stoul(parts[3]), std::stoul(parts[4]), parts[5]};
 }
 
-// Sends the answer that the path names. Fields of other nodes are added, which a node removes from
-// the answers of its own server.
+// Sends the answer that the path names.
 void serve_early(raw_connection& connection) {
     for (std::string head = connection.read_head(); !head.empty(); head = connection.read_head()) {
         const early_answer answer = answer_named_in(head);
-        std::string text = fmt::format("HTTP/1.1 200 OK\r\nx-caraway-outcome: answered\r\n"
-                                       "x-caraway-reason: none\r\nx-caraway-exchange: {}\r\n",
-                                       field_of(head, "x-caraway-exchange"));
+        std::string text = ok_lines(head);
         std::string body(answer.m_sent, 'x');
         if (answer.m_framing == "length") {
             text += fmt::format("Content-Length: {}\r\n", answer.m_body);
@@ -106,13 +103,6 @@
         start();
     }
 
-    // Lets the stand-in take the place of the node beside the server.
-    void replace_backend_node() {
-        auto changed = std::make_shared<routing_snapshot>(*entry().m_snapshot.load());
-        changed->m_services["pour"].m_backends.front().m_traffic = {"127.0.0.1", m_stand_in.port()};
-        entry().m_snapshot.store(changed);
-    }
-
     // Sends an upload and checks that its answer reaches the caller whole or not at all, and that
     // an ordinary call is answered after it.
     void check_upload(test_node& node, const early_answer& expected, std::size_t bytes) {
@@ -153,7 +143,7 @@
 
 // Guards against the same with an answer of another node.
 BOOST_AUTO_TEST_CASE(early_answers_of_a_node_reach_the_caller_whole_or_not_at_all) {
-    replace_backend_node();
+    replace_backend_node(m_stand_in.port());
     for (const early_answer& answer : early_answers()) {
         check_upload(entry(), answer, upload_bytes);
     }
--- a/tests/endless_answer_test.cpp
+++ b/tests/endless_answer_test.cpp
@@ -1,7 +1,5 @@
 // Tests of answers that go on without end in many calls at once: real nodes on loopback in front of
 // a backend server, or of another node, that sends raw bytes.
-#include <fmt/format.h>
-
 #include "tests/raw_server.hpp"
 #include "tests/traffic_fixture.hpp"
 
@@ -20,9 +18,7 @@
 // nothing until the node closes the connection. Any other path gets an ordinary answer.
 void serve_endless(raw_connection& connection) {
     for (std::string head = connection.read_head(); !head.empty(); head = connection.read_head()) {
-        std::string text = fmt::format("HTTP/1.1 200 OK\r\nx-caraway-outcome: answered\r\n"
-                                       "x-caraway-reason: none\r\nx-caraway-exchange: {}\r\n",
-                                       field_of(head, "x-caraway-exchange"));
+        std::string text = ok_lines(head);
         const std::string body(answer_bytes, 'x');
         if (contains(head, "/none ")) {
             connection.send(text.append("\r\n").append(body));
@@ -92,9 +88,7 @@
 
 // Guards against the same with answers of another node.
 BOOST_AUTO_TEST_CASE(endless_answers_of_a_node_are_rejected_when_too_many_bytes_are_held) {
-    auto changed = std::make_shared<routing_snapshot>(*entry().m_snapshot.load());
-    changed->m_services["pour"].m_backends.front().m_traffic = {"127.0.0.1", m_stand_in.port()};
-    entry().m_snapshot.store(changed);
+    replace_backend_node(m_stand_in.port());
     check_calls(entry());
 }
 
--- a/tests/invalid_answer_test.cpp
+++ b/tests/invalid_answer_test.cpp
@@ -35,10 +35,8 @@
     fake_server node_stand_in;
     add_node("n1", "pour", 1);
     start();
-    auto changed = std::make_shared<routing_snapshot>(*entry().m_snapshot.load());
-    backend_view& backend = changed->m_services["pour"].m_backends.front();
-    backend.m_traffic = {"127.0.0.1", node_stand_in.port()};
-    entry().m_snapshot.store(changed);
+    replace_backend_node(node_stand_in.port());
+    const auto& backend = entry().m_snapshot.load()->m_services.at("pour").m_backends.front();
     const http_answer answer = caller(entry()).call("/once/status-000");
     BOOST_TEST(outcome_and_reason(answer) == "unknown/answer-invalid");
     BOOST_TEST(answer.result_int() == 502U);
--- a/tests/raw_server.hpp
+++ b/tests/raw_server.hpp
@@ -75,6 +75,14 @@
     return std::string(head.substr(value, head.find("\r\n", value) - value));
 }
 
+// Returns the first lines of an answer to the request with this head: a 200 with the fields of
+// other nodes, which a node removes from the answers of its own server.
+inline std::string ok_lines(std::string_view head) {
+    return "HTTP/1.1 200 OK\r\nx-caraway-outcome: answered\r\nx-caraway-reason: none\r\n"
+           "x-caraway-exchange: " +
+           field_of(head, "x-caraway-exchange") + "\r\n";
+}
+
 // Runs the handler for each connection in a thread of its own, then closes the connection.
 class raw_server {
 public:
--- a/tests/traffic_fixture.hpp
+++ b/tests/traffic_fixture.hpp
@@ -468,6 +468,14 @@
         }
     }
 
+    // Lets what listens on the port take the place of the node beside the first server of "pour",
+    // for the calls of the entry node.
+    void replace_backend_node(std::uint16_t port) {
+        auto changed = std::make_shared<routing_snapshot>(*entry().m_snapshot.load());
+        changed->m_services["pour"].m_backends.front().m_traffic = {"127.0.0.1", port};
+        entry().m_snapshot.store(changed);
+    }
+
 protected:
     system_clock_source m_clock;
     std::vector<std::unique_ptr<test_node>> m_nodes;
