--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -157,8 +157,8 @@
         const time_point now = m_state.now();
         const duration timeout = m_state.m_settings.m_drain_timeout;
         m_drain_deadline = now + timeout * 9 / 10; // the rest is for exiting
-        // A call may be ended in the last sixth. Other nodes end those that they got from here some
-        // milliseconds earlier than this node.
+        // Just after five sixths, so that no call is ended before that point: other nodes end the
+        // calls that they got from here some milliseconds earlier than this node.
         m_state.m_traffic->end_calls_by(now + timeout * 17 / 20, now + timeout * 2 / 3);
         // New work gets at least half of the drain timeout to end.
         m_refuse_at = now + std::min<duration>(m_state.m_settings.m_announce_time, timeout / 2);
--- a/tests/integration/held_bytes_test.py
+++ b/tests/integration/held_bytes_test.py
@@ -57,7 +57,7 @@
         super().start()
 
 
-class HoardingServer(ReportingServer):
+class EndlessAnswerServer(ReportingServer):
     """Answers to /orders/FRAMING-END with a large body that goes on, but never ends: with a byte now
     and then, or with nothing. Counts the calls that have got the large part."""
     slots = 2 * ANSWERS_AT_ONCE
@@ -320,7 +320,7 @@
 def check_endless_answers(framing):
     """Lets many calls at once get an answer that doesn't end, and makes an ordinary call beside
     them."""
-    with LoadedNode(server_class=HoardingServer) as node, \
+    with LoadedNode(server_class=EndlessAnswerServer) as node, \
             concurrent.futures.ThreadPoolExecutor(ANSWERS_AT_ONCE) as pool:
         for end in ("trickle", "silence"):
             calls = [pool.submit(node.instance.call, f"/orders/{framing}-{end}", b"", HOLD_S * 1000)
--- a/tests/store_answer_test.cpp
+++ b/tests/store_answer_test.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr std::string_view ok_head = "HTTP/1.1 200 OK\r\nx-revision: 7\r\n";
-constexpr milliseconds timeout{5'000};
+constexpr milliseconds timeout{1'000};
 
 // A store that sends this to every request, and repeats the second part until the connection ends.
 struct raw_store {
