Take the tests' ports from below the ephemeral range, in every file

One of 20 runs of that file here, beside 16 busy processes and the unit tests, failed: a node ended at its start with "listen for bulk messages: Address in use" on port 44841.

Change: one free_port in harness.py, used by all files and the stand-ins; the second one is gone. A test checks the range; it failed before (port 60359, range from 32768).

--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -18,6 +18,15 @@
 import traceback
 
 HOST = "127.0.0.1"
+# The ports are below the ephemeral range. A port from that range could become the local port of
+# another connection before a program listens on it.
+FIRST_PORT = 14400
+SLOT_PORTS = 2000
+# Test files that run at the same time use different slots, that is, ranges of ports, since a node
+# that is restarted must find its port still free.
+_first_port = FIRST_PORT + SLOT_PORTS * (int(os.environ.get("CARAWAY_PORT_SLOT", "0")) % 9)
+_next_port = [_first_port]
+_port_lock = threading.Lock()
 
 
 def bin_dir():
@@ -38,30 +47,29 @@
     return _seed
 
 
-def free_ports(count, kinds=(socket.SOCK_STREAM, socket.SOCK_DGRAM)):
-    """Returns ports that are free for each kind of socket. All sockets stay open until the last
-    port is found, so that the ports differ."""
-    reserved, ports = [], []
-    while len(ports) < count:
-        primary_socket = socket.socket(socket.AF_INET, kinds[0])
-        primary_socket.bind((HOST, 0))
-        reserved.append(primary_socket)
-        port = primary_socket.getsockname()[1]
+def free_port():
+    """Returns a port that is free for TCP and UDP; each call returns a different one until the range
+    is used up."""
+    while True:
+        with _port_lock:
+            port = _next_port[0]
+            wrapped = port + 1 >= _first_port + SLOT_PORTS
+            _next_port[0] = _first_port if wrapped else port + 1
         try:
-            for kind in kinds[1:]:
-                secondary_socket = socket.socket(socket.AF_INET, kind)
-                reserved.append(secondary_socket)
-                secondary_socket.bind((HOST, port))
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    probe.bind((HOST, port))
+            return port
         except OSError:
             continue
-        ports.append(port)
-    for reserved_socket in reserved:
-        reserved_socket.close()
-    return ports
+
+
+def free_ports(count):
+    return [free_port() for _ in range(count)]
 
 
 def free_address():
-    return f"{HOST}:{free_ports(1)[0]}"
+    return f"{HOST}:{free_port()}"
 
 
 def free_addresses(count):
--- a/tests/integration/mesh.py
+++ b/tests/integration/mesh.py
@@ -11,21 +11,10 @@
 import json
 import os
 import shutil
-import socket
 import subprocess
-import threading
 import time
 
-from harness import HOST, Harness, get_json, request, wait_until
-
-# The ports are below the ephemeral range, so that outgoing connections do not occupy them.
-FIRST_PORT = 14400
-SLOT_PORTS = 2000
-# Test files that run at the same time use different slots, that is, ranges of ports, since a node
-# that is restarted must find its port still free.
-_first_port = FIRST_PORT + SLOT_PORTS * (int(os.environ.get("CARAWAY_PORT_SLOT", "0")) % 9)
-_next_port = [_first_port]
-_port_lock = threading.Lock()
+from harness import HOST, Harness, free_port, get_json, request, wait_until
 
 # If set, nodes record the inputs of their decisions, and their logs are copied to this folder at
 # the end of a test.
@@ -35,22 +24,6 @@
 RECORD_LINES = 100_000
 
 
-def free_port():
-    """Returns a port that is currently free for TCP and UDP."""
-    while True:
-        with _port_lock:
-            port = _next_port[0]
-            wrapped = port + 1 >= _first_port + SLOT_PORTS
-            _next_port[0] = _first_port if wrapped else port + 1
-        try:
-            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-                with socket.socket(socket.AF_INET, kind) as probe:
-                    probe.bind((HOST, port))
-            return port
-        except OSError:
-            continue
-
-
 def http(method, port, path, body=None, timeout_s=5.0):
     """Sends one HTTP request, with body as JSON unless it is None. Returns status, headers (lower
     case) and body."""
--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -17,7 +17,7 @@
 import urllib.parse
 import uuid
 
-from harness import HOST, request
+from harness import HOST, free_port, request
 
 
 class _Server(http.server.ThreadingHTTPServer):
@@ -28,8 +28,8 @@
         pass  # a peer closed its connection
 
 
-def _serve(handler, port=0):
-    server = _Server((HOST, port), handler)
+def _serve(handler, port=None):
+    server = _Server((HOST, port or free_port()), handler)
     threading.Thread(target=server.serve_forever, kwargs={"poll_interval": 0.05},
                      daemon=True).start()
     return server, f"{HOST}:{server.server_address[1]}"
@@ -268,7 +268,7 @@
     itself to the node beside it."""
     slots = 4
 
-    def __init__(self, service, data_centre, reports_address, version="v1", port=0,
+    def __init__(self, service, data_centre, reports_address, version="v1", port=None,
                  instance_id=None):
         self.service, self.data_centre, self.version = service, data_centre, version
         self.reports_address = reports_address
--- a/tests/integration/standins_test.py
+++ b/tests/integration/standins_test.py
@@ -5,8 +5,10 @@
 import threading
 import time
 
-from harness import (HOST, Harness, free_address, free_addresses, get_json, post_json, request,
-                     run_tests, wait_until)
+from harness import (HOST, Harness, free_address, free_addresses, free_ports, get_json, post_json,
+                     request, run_tests, wait_until)
+
+TEST_PORTS = 100
 
 
 def start_store(harness, *arguments):
@@ -390,5 +392,15 @@
         assert harness.start("kv_store", "--listen", busy, ready=None).wait(5) == 2
 
 
+def test_ports_are_below_the_ephemeral_range():
+    """Guards against a program that can't listen on its port because another connection got it as
+    its local port."""
+    with open("/proc/sys/net/ipv4/ip_local_port_range") as file:
+        first_ephemeral_port = int(file.read().split()[0])
+    ports = free_ports(TEST_PORTS)
+    assert len(set(ports)) == TEST_PORTS, ports
+    assert max(ports) < first_ephemeral_port, (max(ports), first_ephemeral_port)
+
+
 if __name__ == "__main__":
     run_tests([value for name, value in sorted(globals().items()) if name.startswith("test_")])
