Name the connections of the raw server by handler in tests

A test that looks for answers after an invalid one on the same connection named connections by the client's address. A node's next connection may have the same port once the first one was reset, and would count as the same one.

--- a/tests/integration/raw_answers.py
+++ b/tests/integration/raw_answers.py
@@ -134,8 +134,8 @@
 
 
 class RawServer(ReportingServer):
-    """Sends the answer that the path names. Records the names of the answers by connection, in
-    order, with "" for an ordinary one."""
+    """Sends the answer that the path names. Records the names of the answers by connection, that is,
+    by handler, in order, with "" for an ordinary one."""
 
     def __init__(self, *arguments, **named):
         self.by_connection, self.bytes_sent = {}, {}
@@ -147,7 +147,7 @@
     def handle_request(self, handler, body):
         name = handler.path.rsplit("/", 1)[1]
         known = any(name in kinds for kinds in (INVALID, UNUSUAL, ENDLESS, PIECES, PAUSING, EARLY))
-        self.by_connection.setdefault(handler.client_address, []).append(name if known else "")
+        self.by_connection.setdefault(handler, []).append(name if known else "")
         if not known:
             return super().handle_request(handler, body)
         attempt_id = handler.headers["X-Carawaytray-Attempt-Id"]
