Share the threads of the tests' servers (no change of behaviour)

raw_server and fake_server each had the same listener with a thread per connection, the same ending and the same close under a lock. Both now use connection_threads. fake_server shut a connection down before it closed it; the close alone does the same, since it has read all requests.

--- a/tests/raw_server.hpp
+++ b/tests/raw_server.hpp
@@ -1,26 +1,24 @@
-// Server for tests that reads and sends raw bytes, with one thread per connection.
+// Server for tests that reads and sends raw bytes.
 #pragma once
 
-#include <atomic>
+#include <algorithm>
+#include <cstdint>
 #include <functional>
-#include <memory>
-#include <mutex>
 #include <string>
 #include <string_view>
-#include <thread>
 #include <vector>
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include "tests/connection_threads.hpp"
+
 namespace caraway {
 
 // One accepted connection.
 class raw_connection {
 public:
-    explicit raw_connection(std::shared_ptr<boost::asio::ip::tcp::socket> socket)
-        : m_socket(std::move(socket)) {}
+    explicit raw_connection(boost::asio::ip::tcp::socket& socket) : m_socket(&socket) {}
 
     // Reads the head of the next request and leaves its body unread. Returns an empty text when the
     // connection has ended.
@@ -50,10 +48,7 @@
         return !failed;
     }
     // Makes the end of the connection a reset, which discards what the peer has sent.
-    void reset_on_close() {
-        boost::system::error_code ignored;
-        m_socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
-    }
+    void reset_on_close() { caraway::reset_on_close(*m_socket); }
 
 private:
     std::size_t receive(char* bytes, std::size_t size) {
@@ -61,7 +56,7 @@
         return m_socket->read_some(boost::asio::buffer(bytes, size), failed);
     }
 
-    std::shared_ptr<boost::asio::ip::tcp::socket> m_socket;
+    boost::asio::ip::tcp::socket* m_socket;
 };
 
 // Returns the value of a field of a head, or an empty text if it is absent.
@@ -86,67 +81,18 @@
 // Runs the handler for each connection in a thread of its own, then closes the connection.
 class raw_server {
 public:
-    using tcp = boost::asio::ip::tcp;
     using handler = std::function<void(raw_connection&)>;
 
-    explicit raw_server(handler serve)
-        : m_serve(std::move(serve)),
-          m_acceptor(m_io, {boost::asio::ip::address_v4::loopback(), 0}) {
-        m_accept_thread = std::thread([this] { accept_all(); });
-    }
-    raw_server(const raw_server&) = delete;
-    raw_server& operator=(const raw_server&) = delete;
-    raw_server(raw_server&&) = delete;
-    raw_server& operator=(raw_server&&) = delete;
-    ~raw_server() {
-        m_stopped = true;
-        boost::system::error_code ignored;
-        tcp::socket waker(m_io);
-        waker.connect(m_acceptor.local_endpoint(), ignored);
-        m_accept_thread.join();
-        {
-            const std::lock_guard lock(m_mutex);
-            for (const auto& socket : m_sockets) {
-                socket->shutdown(tcp::socket::shutdown_both, ignored);
-            }
-        }
-        for (std::thread& thread : m_connection_threads) {
-            thread.join();
-        }
-    }
-    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+    explicit raw_server(const handler& serve)
+        : m_connections([serve](boost::asio::ip::tcp::socket& socket) {
+              socket.set_option(boost::asio::ip::tcp::no_delay(true));
+              raw_connection served(socket);
+              serve(served);
+          }) {}
+    std::uint16_t port() const { return m_connections.port(); }
 
 private:
-    void accept_all() {
-        while (true) {
-            auto socket = std::make_shared<tcp::socket>(m_io);
-            m_acceptor.accept(*socket);
-            if (m_stopped) {
-                return;
-            }
-            socket->set_option(tcp::no_delay(true));
-            const std::lock_guard lock(m_mutex);
-            m_sockets.push_back(socket);
-            m_connection_threads.emplace_back([this, socket] {
-                raw_connection served(socket);
-                m_serve(served);
-                // The destructor shuts down every socket. Closing under the lock keeps it from
-                // using a descriptor that already belongs to another socket.
-                boost::system::error_code ignored;
-                const std::lock_guard closing(m_mutex);
-                socket->close(ignored);
-            });
-        }
-    }
-
-    const handler m_serve;
-    boost::asio::io_context m_io;
-    tcp::acceptor m_acceptor;
-    std::atomic<bool> m_stopped{false};
-    std::mutex m_mutex;
-    std::vector<std::shared_ptr<tcp::socket>> m_sockets;
-    std::vector<std::thread> m_connection_threads;
-    std::thread m_accept_thread;
+    connection_threads m_connections;
 };
 
 } // namespace caraway
--- a/tests/traffic_fixture.hpp
+++ b/tests/traffic_fixture.hpp
@@ -18,6 +18,7 @@
 #include <boost/json.hpp>
 
 #include "observe/log.hpp"
+#include "tests/connection_threads.hpp"
 #include "tests/loopback.hpp"
 #include "tests/support.hpp"
 #include "traffic/traffic.hpp"
@@ -38,30 +39,7 @@
 // behaviour.
 class fake_server {
 public:
-    fake_server() : m_acceptor(m_io, {asio::ip::address_v4::loopback(), 0}) {
-        m_accept_thread = std::thread([this] { accept_all(); });
-    }
-    fake_server(const fake_server&) = delete;
-    fake_server& operator=(const fake_server&) = delete;
-    fake_server(fake_server&&) = delete;
-    fake_server& operator=(fake_server&&) = delete;
-    ~fake_server() {
-        m_stopped = true;
-        error_code ignored;
-        tcp::socket waker(m_io);
-        waker.connect(m_acceptor.local_endpoint(), ignored);
-        m_accept_thread.join();
-        {
-            const std::lock_guard lock(m_mutex);
-            for (const auto& socket : m_sockets) {
-                socket->shutdown(tcp::socket::shutdown_both, ignored);
-            }
-        }
-        for (std::thread& thread : m_connection_threads) {
-            thread.join();
-        }
-    }
-    std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+    std::uint16_t port() const { return m_connections.port(); }
     // Requests received.
     int runs() const { return m_runs; }
     // Slow requests whose connection the node closed before their answer.
@@ -80,18 +58,6 @@
     }
 
 private:
-    void accept_all() {
-        while (true) {
-            auto socket = std::make_shared<tcp::socket>(m_io);
-            m_acceptor.accept(*socket);
-            if (m_stopped) {
-                return;
-            }
-            const std::lock_guard lock(m_mutex);
-            m_sockets.push_back(socket);
-            m_connection_threads.emplace_back([this, socket] { serve(*socket); });
-        }
-    }
     void serve(tcp::socket& socket) {
         beast::flat_buffer buffer;
         error_code failed;
@@ -114,11 +80,6 @@
                 break;
             }
         }
-        // The destructor shuts down every socket. Closing under the lock keeps it from using a
-        // descriptor that already belongs to another socket.
-        const std::lock_guard lock(m_mutex);
-        socket.shutdown(tcp::socket::shutdown_both, failed);
-        socket.close(failed);
     }
     // Writes bytes that never form a complete answer, until the peer closes the connection.
     bool write_endlessly(tcp::socket& socket, const std::string& action) {
@@ -142,7 +103,7 @@
         while (block.size() < 16'000) {
             block += more;
         }
-        while (!failed && !m_stopped) {
+        while (!failed && !m_connections.is_stopped()) {
             m_endless_bytes += asio::write(socket, asio::buffer(block), failed);
         }
         return false;
@@ -176,10 +137,7 @@
             write("HTTP/1.1 200 OK\r\n\r\nthis is cut by a reset");
             // Leaves the node time to read the bytes before the reset discards them.
             std::this_thread::sleep_for(milliseconds(50));
-            error_code ignored;
-            const std::lock_guard lock(m_mutex);
-            socket.set_option(asio::socket_base::linger(true, 0), ignored);
-            socket.close(ignored);
+            reset_on_close(socket);
             return false;
         }
         if (action == "late-extra") {
@@ -281,9 +239,6 @@
         return !ignored;
     }
 
-    asio::io_context m_io;
-    tcp::acceptor m_acceptor;
-    std::atomic<bool> m_stopped{false};
     std::atomic<int> m_runs{0};
     std::atomic<std::size_t> m_closed_while_slow{0};
     std::atomic<std::size_t> m_slow_started{0};
@@ -291,9 +246,7 @@
     std::string m_health; // set before the node starts
     std::mutex m_mutex;
     std::string m_last_headers;
-    std::vector<std::shared_ptr<tcp::socket>> m_sockets;
-    std::vector<std::thread> m_connection_threads;
-    std::thread m_accept_thread;
+    connection_threads m_connections{[this](tcp::socket& socket) { serve(socket); }};
 };
 
 // A node reduced to its traffic server.
