Keep what is known of a version with the version, not with the order

Cause: where the configuration doesn't name the version that serves, every version but the target of the order in force counted as an old one. Facts of moves that the configuration no longer named were dropped, and the next order's record replaced the one in the store.

Change: the record of a service's move lists the versions whose moves were not completed; a new move's first record takes the list over and adds the target before it unless that was done. The versions that serve follow from the record, so they are right from the moment at which an order is seen. Records are kept by service, also while the configuration doesn't list it. A node that starts knows the records before it has a configuration: it lists them in the store before the items are applied, or gets the facts of the member that sends it its first text.

Why this works: a version serves again only through a move to it, which tests it from the first stage on; every other event leaves it excluded, and the list is in the store before a later record can replace it.

The test of prune_facts asserted that records of other moves are dropped, which is this fault; it now asserts that they are kept, up to a bound, and that suspensions of old moves are dropped as before.

--- a/src/config/mesh.cpp
+++ b/src/config/mesh.cpp
@@ -576,11 +576,13 @@
     return match_route(config, {}, path);
 }
 
-bool is_old_version(const service_spec& service, std::string_view version) {
+bool is_old_version(const service_spec& service, std::string_view version,
+                    std::span<const std::string> excluded) {
     if (!service.m_version.empty()) {
         return version == service.m_version;
     }
-    return !service.m_move || version != service.m_move->m_to;
+    const bool is_target = service.m_move && version == service.m_move->m_to;
+    return !is_target && std::find(excluded.begin(), excluded.end(), version) == excluded.end();
 }
 
 std::string move_id(std::string_view service, const move_spec& move) {
--- a/src/config/mesh.hpp
+++ b/src/config/mesh.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,7 +47,7 @@
 struct service_spec {
     std::string m_name;
     // Version that serves while no move is running. If empty, every version serves except the
-    // target of a move.
+    // targets of the move and of earlier moves that were not completed.
     std::string m_version;
     std::vector<std::string> m_depends_on;
     std::optional<move_spec> m_move;
@@ -150,8 +151,10 @@
 const route_spec* match_route(const mesh& config, std::string_view path);
 
 // Returns true if the version serves the calls that the service's move has not shifted to its
-// target version.
-bool is_old_version(const service_spec& service, std::string_view version);
+// target version. If the configuration doesn't name that version, every version does but the
+// target and the excluded ones, which an earlier move left incomplete.
+bool is_old_version(const service_spec& service, std::string_view version,
+                    std::span<const std::string> excluded);
 
 // Returns the identifier of a move: a hash of the service, the target version and the deadline, so
 // that it is the same in every text with these values. For a move ordered with a duration, the
--- a/src/ctl/replay_player.cpp
+++ b/src/ctl/replay_player.cpp
@@ -144,7 +144,7 @@
 std::string replay_facts(replayed_process& process, const replay_input& input) {
     fact_table& facts = process.m_facts;
     if (input.m_input_name == "prune") {
-        prune_facts(facts, {input.text("keep")});
+        prune_facts(facts, {input.text("keep")}, [](std::string_view) { return true; });
         return {};
     }
     if (input.m_input_name == "suspension") {
@@ -220,7 +220,8 @@
         process.m_written_record =
             start_move(input.text("move"), input.text("service"), input.text("from"),
                        input.text("to"), wall_time_from_ms(input.number("deadline_ms")),
-                       process.m_instance, wall_time_from_ms(input.number("wall_ms")));
+                       process.m_instance, wall_time_from_ms(input.number("wall_ms")),
+                       excluded_versions(process.m_facts, input.text("service")));
         return action_text(move_step{move_step::kind::write, *process.m_written_record});
     } else {
         return replay_record(process, input);
--- a/src/decide/membership/membership_packet_size.cpp
+++ b/src/decide/membership/membership_packet_size.cpp
@@ -55,14 +55,18 @@
 }
 
 std::size_t record_bytes(const move_record& value) {
+    std::size_t excluded = 0;
+    for (const std::string& version : value.m_excluded_versions) {
+        excluded += bytes_field_size(version.size());
+    }
     return bytes_field_size(
-        bytes_field_size(value.m_move_id.size()) + bytes_field_size(value.m_service.size()) +
-        bytes_field_size(value.m_from.size()) + bytes_field_size(value.m_to.size()) +
-        number_field_size(1) + number_field_size(value.m_stage) +
-        number_field_size(value.m_weight_permille) + signed_field_size(value.m_started_ms) +
-        signed_field_size(value.m_raised_ms) + signed_field_size(value.m_deadline_ms) +
-        bytes_field_size(value.m_holder.size()) + bytes_field_size(value.m_reason.size()) +
-        number_field_size(value.m_revision));
+        excluded + bytes_field_size(value.m_move_id.size()) +
+        bytes_field_size(value.m_service.size()) + bytes_field_size(value.m_from.size()) +
+        bytes_field_size(value.m_to.size()) + number_field_size(1) +
+        number_field_size(value.m_stage) + number_field_size(value.m_weight_permille) +
+        signed_field_size(value.m_started_ms) + signed_field_size(value.m_raised_ms) +
+        signed_field_size(value.m_deadline_ms) + bytes_field_size(value.m_holder.size()) +
+        bytes_field_size(value.m_reason.size()) + number_field_size(value.m_revision));
 }
 
 } // namespace swim
--- a/src/decide/versions/facts.cpp
+++ b/src/decide/versions/facts.cpp
@@ -1,5 +1,6 @@
 #include "decide/versions/facts.hpp"
 
+#include <algorithm>
 #include <array>
 #include <set>
 #include <tuple>
@@ -21,7 +22,8 @@
 auto record_order(const move_record& value) {
     return std::tie(value.m_revision, value.m_state, value.m_move_id, value.m_stage,
                     value.m_weight_permille, value.m_from, value.m_to, value.m_started_ms,
-                    value.m_raised_ms, value.m_deadline_ms, value.m_holder, value.m_reason);
+                    value.m_raised_ms, value.m_deadline_ms, value.m_holder, value.m_reason,
+                    value.m_excluded_versions);
 }
 
 // Appends a field to the input of a digest. The separator keeps adjacent fields apart.
@@ -52,6 +54,30 @@
     return hash_bytes(bytes, 2);
 }
 
+// Drops the earliest records of services that are not listed, if there are too many of them.
+void drop_unlisted_records(fact_table& facts, const service_filter& is_listed) {
+    std::vector<const move_record*> unlisted;
+    for (const auto& [service, record] : facts.m_records) {
+        if (!is_listed(service)) {
+            unlisted.push_back(&record);
+        }
+    }
+    if (unlisted.size() <= max_unlisted_records) {
+        return;
+    }
+    std::sort(unlisted.begin(), unlisted.end(), [](const move_record* a, const move_record* b) {
+        return record_order(*b) < record_order(*a);
+    });
+    std::vector<std::string> dropped;
+    for (std::size_t i = max_unlisted_records; i < unlisted.size(); ++i) {
+        dropped.push_back(unlisted[i]->m_service);
+        facts.m_service_by_move.erase(unlisted[i]->m_move_id);
+    }
+    for (const std::string& service : dropped) {
+        facts.m_records.erase(service);
+    }
+}
+
 } // namespace
 
 std::string_view move_state_name(move_state value) {
@@ -138,14 +164,38 @@
     return record != facts.m_records.end() && record->second.m_state == move_state::taken_back;
 }
 
-void prune_facts(fact_table& facts, const std::vector<std::string>& keep_move_ids) {
-    const std::set<std::string_view> keep(keep_move_ids.begin(), keep_move_ids.end());
-    std::erase_if(facts.m_suspensions,
-                  [&keep](const auto& entry) { return !keep.contains(entry.first); });
-    std::erase_if(facts.m_records,
-                  [&keep](const auto& entry) { return !keep.contains(entry.second.m_move_id); });
-    std::erase_if(facts.m_service_by_move,
-                  [&keep](const auto& entry) { return !keep.contains(entry.first); });
+std::vector<std::string> excluded_versions(const move_record& record) {
+    std::vector<std::string> versions = record.m_excluded_versions;
+    if (record.m_state != move_state::done) {
+        std::erase(versions, record.m_to);
+        versions.push_back(record.m_to);
+    }
+    return versions;
+}
+
+std::vector<std::string> excluded_versions(const fact_table& facts, std::string_view service) {
+    const auto found = facts.m_records.find(service);
+    return found == facts.m_records.end() ? std::vector<std::string>{}
+                                          : excluded_versions(found->second);
+}
+
+std::vector<std::string> inherit_exclusions(std::vector<std::string> excluded,
+                                            std::string_view target) {
+    std::erase(excluded, target);
+    if (excluded.size() > max_excluded_versions) {
+        excluded.erase(excluded.begin(),
+                       excluded.end() - static_cast<std::ptrdiff_t>(max_excluded_versions));
+    }
+    return excluded;
+}
+
+void prune_facts(fact_table& facts, const std::vector<std::string>& move_ids,
+                 const service_filter& is_listed) {
+    drop_unlisted_records(facts, is_listed);
+    const std::set<std::string_view> in_force(move_ids.begin(), move_ids.end());
+    std::erase_if(facts.m_suspensions, [&](const auto& entry) {
+        return !in_force.contains(entry.first) && !facts.m_service_by_move.contains(entry.first);
+    });
 }
 
 } // namespace caraway
--- a/src/decide/versions/facts.hpp
+++ b/src/decide/versions/facts.hpp
@@ -4,7 +4,9 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +37,9 @@
     std::int64_t m_deadline_ms = 0; // Unix milliseconds
     std::string m_holder;           // instance that wrote the record last
     std::string m_reason;           // reason for the state and weight
+    // Targets of earlier moves of the service that were not completed, oldest first. They get no
+    // calls until a move to them is ordered again.
+    std::vector<std::string> m_excluded_versions;
     // Version of this record: the store's era when it was written, and its revision. Only the era
     // is part of the stored value.
     std::uint64_t m_revision = 0;
@@ -61,9 +66,12 @@
     std::map<std::string, std::string, std::less<>> m_service_by_move;
 };
 
-// Upper bound of the number of suspensions and of records. prune_facts drops the facts of moves
-// that are no longer in the configuration.
+// Upper bound of the number of suspensions and of records.
 constexpr std::size_t max_facts = 10'000;
+// Upper bound of the number of records kept for services that the configuration doesn't list.
+constexpr std::size_t max_unlisted_records = 1'000;
+// Upper bound of the versions that a record excludes; the oldest ones are dropped.
+constexpr std::size_t max_excluded_versions = 32;
 
 // Merges a suspension into the table and returns whether the table changed. Of two for the same
 // move the one with the smaller (time, instance) is kept, so that every order of arrival gives the
@@ -86,7 +94,27 @@
 // Returns whether the version of this move is suspended or taken back.
 bool is_suspended(const fact_table& facts, std::string_view move_id);
 
-// Drops the facts of all moves except keep_move_ids, the moves of the mesh in force.
-void prune_facts(fact_table& facts, const std::vector<std::string>& keep_move_ids);
+// Returns the versions that the record excludes from the calls of its service, oldest first: those
+// of earlier moves, and its own target unless its move is done.
+std::vector<std::string> excluded_versions(const move_record& record);
+
+// Returns the versions of a service that get no calls, because a move to them was ordered and not
+// completed, and no later move to them was. The target of the move in force may be among them.
+std::vector<std::string> excluded_versions(const fact_table& facts, std::string_view service);
+
+// Returns the versions that the first record of a move to this version states as excluded: those
+// that are excluded before it, without the target and at most the latest max_excluded_versions.
+std::vector<std::string> inherit_exclusions(std::vector<std::string> excluded,
+                                            std::string_view target);
+
+// Returns whether a service is listed in the configuration.
+using service_filter = std::function<bool(std::string_view service)>;
+
+// Drops what a configuration no longer needs: suspensions of moves that are neither among
+// move_ids, the moves in force, nor named by a record, and of the records of services that are not
+// listed all but the latest max_unlisted_records. What is known of a service's versions therefore
+// outlives the order that led to it, and the service's absence from a configuration.
+void prune_facts(fact_table& facts, const std::vector<std::string>& move_ids,
+                 const service_filter& is_listed);
 
 } // namespace caraway
--- a/src/decide/versions/version_move.cpp
+++ b/src/decide/versions/version_move.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include <boost/json.hpp>
 #include <fmt/format.h>
@@ -80,7 +81,7 @@
 
 move_record start_move(std::string_view move_id, std::string_view service, std::string_view from,
                        std::string_view to, wall_time deadline, std::string_view holder,
-                       wall_time now) {
+                       wall_time now, std::vector<std::string> excluded) {
     move_record record;
     record.m_move_id = move_id;
     record.m_service = service;
@@ -90,6 +91,7 @@
     record.m_raised_ms = record.m_started_ms;
     record.m_deadline_ms = unix_ms(deadline);
     record.m_holder = holder;
+    record.m_excluded_versions = inherit_exclusions(std::move(excluded), to);
     if (deadline <= now) {
         record.m_state = move_state::taken_back;
         record.m_reason = "the deadline had passed before the move began";
@@ -176,6 +178,9 @@
     object["deadline_ms"] = record.m_deadline_ms;
     object["holder"] = record.m_holder;
     object["reason"] = record.m_reason;
+    if (!record.m_excluded_versions.empty()) {
+        object["excluded_versions"] = boost::json::value_from(record.m_excluded_versions);
+    }
     if (const std::uint64_t era = era_of(record.m_revision); era != 0) {
         object["era"] = era;
     }
@@ -208,6 +213,21 @@
         }
         return found->get_int64();
     };
+    const auto texts = [&](std::string_view key) {
+        std::vector<std::string> values;
+        const auto* found = object.if_contains(key);
+        if (found == nullptr) {
+            return values; // left out if empty
+        }
+        complete =
+            complete && found->is_array() && found->get_array().size() <= max_excluded_versions;
+        for (std::size_t i = 0; complete && i < found->get_array().size(); ++i) {
+            const boost::json::value& entry = found->get_array()[i];
+            complete = entry.is_string();
+            values.emplace_back(complete ? std::string(entry.get_string()) : std::string{});
+        }
+        return values;
+    };
     constexpr std::int64_t max_value = std::numeric_limits<std::int64_t>::max();
     move_record record;
     record.m_move_id = text("move_id");
@@ -226,6 +246,7 @@
     record.m_deadline_ms = number("deadline_ms", max_value);
     record.m_holder = text("holder");
     record.m_reason = text("reason");
+    record.m_excluded_versions = texts("excluded_versions");
     if (!complete || state == move_states.end()) {
         return std::nullopt;
     }
--- a/src/decide/versions/version_move.hpp
+++ b/src/decide/versions/version_move.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/clock.hpp"
 #include "decide/versions/facts.hpp"
@@ -29,10 +30,11 @@
 };
 
 // Creates the first record of a move. If the deadline is not after now, the record is taken_back
-// from the start and the version gets no traffic.
+// from the start and the version gets no traffic. The record keeps the versions that earlier moves
+// excluded, except its own target.
 move_record start_move(std::string_view move_id, std::string_view service, std::string_view from,
                        std::string_view to, wall_time deadline, std::string_view holder,
-                       wall_time now);
+                       wall_time now, std::vector<std::string> excluded = {});
 
 // Returns the record with a new holder. The new holder must write it before any other change, which
 // fences the old holder.
--- a/src/node/config_sync.cpp
+++ b/src/node/config_sync.cpp
@@ -107,8 +107,7 @@
     return ids;
 }
 
-// Replaces the mesh in force, drops facts of moves that it no longer names, and rebuilds the
-// snapshot.
+// Replaces the mesh in force, drops facts that it no longer needs, and rebuilds the snapshot.
 void put_in_force(control& state, std::shared_ptr<const mesh> next, std::uint64_t version) {
     const std::shared_ptr<const mesh> before = std::exchange(state.m_mesh, std::move(next));
     log_data_centre_changes(before.get(), *state.m_mesh, version);
@@ -139,23 +138,43 @@
     }
 }
 
+// Sends an instance the request for a text newer than `have_version`.
+void request_text(control& state, const std::string& instance, const ip_endpoint& to,
+                  std::uint64_t have_version) {
+    const fetch_config_request request{state.m_settings.m_instance, have_version, have_version + 1};
+    send_bulk(state, to, request, [&state, instance](const std::optional<bulk_reply>& reply) {
+        const auto* fetched = reply ? std::get_if<fetch_config_reply>(&*reply) : nullptr;
+        if (fetched == nullptr || !fetched->m_config) {
+            perform(state, decide_fetch_failed(state));
+            return;
+        }
+        receive_text(state, instance, *fetched->m_config);
+    });
+}
+
 // Requests from an instance a text newer than `have_version`, the highest version that this node
-// holds.
+// holds. A node that holds none gets the instance's facts first: a text alone doesn't tell which
+// versions of a service were taken back.
 void fetch_newer_text(control& state, const std::string& instance, std::uint64_t have_version) {
     const auto holder = state.m_members.m_members.find(instance);
     if (holder == state.m_members.m_members.end()) {
         perform(state, decide_fetch_failed(state));
         return;
     }
-    const fetch_config_request request{state.m_settings.m_instance, have_version, have_version + 1};
-    send_bulk(state, holder->second.m_member.m_bulk, request,
-              [&state, instance](const std::optional<bulk_reply>& reply) {
-                  const auto* fetched = reply ? std::get_if<fetch_config_reply>(&*reply) : nullptr;
-                  if (fetched == nullptr || !fetched->m_config) {
+    const ip_endpoint to = holder->second.m_member.m_bulk;
+    if (have_version != 0) {
+        request_text(state, instance, to, have_version);
+        return;
+    }
+    send_bulk(state, to, collect_facts(state),
+              [&state, instance, to](const std::optional<bulk_reply>& reply) {
+                  const auto* facts = reply ? std::get_if<facts_message>(&*reply) : nullptr;
+                  if (facts == nullptr) {
                       perform(state, decide_fetch_failed(state));
                       return;
                   }
-                  receive_text(state, instance, *fetched->m_config);
+                  receive_facts(state, *facts, false);
+                  request_text(state, instance, to, 0);
               });
 }
 
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -108,9 +108,8 @@
     // Entry point slots that did not hold a known member's address at the last discovery.
     std::vector<std::string> m_unknown_slots;
     std::uint64_t m_logged_era = 0; // the store's era as last logged
-    bool m_records_read = false;
-    bool m_records_call_pending = false;
-    time_point m_records_retry_at;
+    bool m_records_read = false;    // the records of moves were read from the store
+    time_point m_records_retry_at;  // when they are read again if no reply has arrived by then
 };
 
 // The accepter: validates submitted texts and writes the accepted state.
@@ -288,6 +287,8 @@
 // Exchanges all facts with a member and merges them on both sides; done is called on success. Does
 // nothing if the member is unknown or an exchange with it is already running.
 void exchange_facts(control& state, const std::string& instance, std::function<void()> done);
+// Merges all facts that a member knows, and gossips the new ones if spread is set.
+void receive_facts(control& state, const facts_message& facts, bool spread);
 // Merges facts into the table. If any is new, marks the snapshot for rebuilding, and gossips the
 // new ones if spread is set.
 void merge_facts(control& state, std::span<const suspension> suspensions,
--- a/src/node/gossip.cpp
+++ b/src/node/gossip.cpp
@@ -38,8 +38,7 @@
     }
     bulk_reply operator()(const facts_message& request) const {
         facts_message reply = collect_facts(m_state);
-        merge_kept_items(m_state, request.m_kept_items);
-        merge_facts(m_state, request.m_suspensions, request.m_records, true);
+        receive_facts(m_state, request, true);
         return reply;
     }
     bulk_reply operator()(const members_digest_request& request) const {
@@ -232,13 +231,17 @@
                   state.m_facts_fetching.erase(instance);
                   const auto* facts = reply ? std::get_if<facts_message>(&*reply) : nullptr;
                   if (facts != nullptr) {
-                      merge_kept_items(state, facts->m_kept_items);
-                      merge_facts(state, facts->m_suspensions, facts->m_records, true);
+                      receive_facts(state, *facts, true);
                       done();
                   }
               });
 }
 
+void receive_facts(control& state, const facts_message& facts, bool spread) {
+    merge_kept_items(state, facts.m_kept_items);
+    merge_facts(state, facts.m_suspensions, facts.m_records, spread);
+}
+
 void merge_facts(control& state, std::span<const suspension> suspensions,
                  std::span<const move_record> records, bool spread) {
     std::vector<suspension> new_suspensions;
--- a/src/node/move_control.cpp
+++ b/src/node/move_control.cpp
@@ -357,9 +357,9 @@
     evidence_report own = state.m_traffic->take_evidence();
     own.m_instance = state.m_settings.m_instance;
     own.m_service = service.m_name;
-    own.m_version = is_old_version(service, state.m_own_view.m_version)
-                        ? service.m_version
-                        : state.m_own_view.m_version;
+    const bool is_old = is_old_version(service, state.m_own_view.m_version,
+                                       excluded_versions(state.m_facts, service.m_name));
+    own.m_version = is_old ? service.m_version : state.m_own_view.m_version;
     if (is_move_finished(state, state.m_move.m_move_id)) {
         return;
     }
--- a/src/node/operator_watch.cpp
+++ b/src/node/operator_watch.cpp
@@ -78,10 +78,20 @@
         milliseconds(state.m_random.below(static_cast<std::uint64_t>(pause.count())));
 }
 
+// Returns whether the items may be put in force: the records of moves were read before, or came
+// with a text from a member. Without the records a node that starts would take the servers of a
+// version that was taken back for old ones.
+bool records_known(const control& state) {
+    return state.m_operator.m_records_read || !state.m_distribution.m_texts.empty();
+}
+
 // Passes the items to the distribution as one text, whose version is the revision of their latest
 // change. If they are those of the text held, the text keeps its version.
 void apply_items(control& state) {
     operator_watch& watch = state.m_operator;
+    if (!records_known(state)) {
+        return; // read_records does it again
+    }
     std::vector<store_entry> items;
     for (const auto& [key, entry] : watch.m_items) {
         items.push_back(entry);
@@ -184,15 +194,12 @@
 }
 
 // Reads the records of all moves once, so that a node that starts after the end of a move knows the
-// outcome.
+// outcome. Then applies the items that were listed in the meantime.
 void read_records(control& state) {
-    operator_watch& watch = state.m_operator;
-    watch.m_records_call_pending = true;
+    state.m_operator.m_records_retry_at = state.now() + max_reply_delay;
     state.m_store->list(state.m_adapter.m_move_key_prefix, [&state](const store_reply& reply) {
         operator_watch& current_watch = state.m_operator;
-        current_watch.m_records_call_pending = false;
-        current_watch.m_records_retry_at = state.now() + store_retry_pause;
-        if (reply.m_kind != error_kind::none) {
+        if (reply.m_kind != error_kind::none || current_watch.m_records_read) {
             return;
         }
         current_watch.m_records_read = true;
@@ -205,6 +212,9 @@
             }
         }
         merge_facts(state, {}, records, false);
+        if (current_watch.m_listed) {
+            apply_items(state);
+        }
     });
 }
 
@@ -310,8 +320,8 @@
     } else if (!watch.m_is_watcher && !starting) {
         return;
     }
-    if (!watch.m_records_read && watch.m_is_watcher && !watch.m_records_call_pending &&
-        now >= watch.m_records_retry_at) {
+    const bool needs_records = watch.m_is_watcher || !records_known(state);
+    if (!watch.m_records_read && needs_records && now >= watch.m_records_retry_at) {
         read_records(state);
     }
     if (!may_send_read(watch.m_reads, now) || now < watch.m_retry_at) {
--- a/src/node/recorded.cpp
+++ b/src/node/recorded.cpp
@@ -274,8 +274,10 @@
     }
 }
 
-void prune_and_record_facts(control& state, const std::vector<std::string>& keep_move_ids) {
-    prune_facts(state.m_facts, keep_move_ids);
+void prune_and_record_facts(control& state, const std::vector<std::string>& move_ids) {
+    prune_facts(state.m_facts, move_ids, [&state](std::string_view service) {
+        return state.m_mesh->m_services.contains(service);
+    });
     if (!is_recording()) {
         return;
     }
@@ -343,7 +345,8 @@
                                    ? service.m_move->m_deadline
                                    : wall_time_now + service.m_move->m_duration - time_since_order;
     move_record record = start_move(id, service.m_name, service.m_version, service.m_move->m_to,
-                                    deadline, state.m_settings.m_instance, wall_time_now);
+                                    deadline, state.m_settings.m_instance, wall_time_now,
+                                    excluded_versions(state.m_facts, service.m_name));
     if (is_recording()) {
         record_input(move_component, "start", state.now(),
                      {{"move", id},
--- a/src/node/recorded.hpp
+++ b/src/node/recorded.hpp
@@ -62,9 +62,9 @@
 // Records a fact that is new to this node. Only facts of this node's own service are recorded.
 void record_fact(const control& state, const suspension& value);
 void record_fact(const control& state, const move_record& value);
-// Drops the facts of moves that are not listed, since the configuration no longer names them
-// (prune_facts). Records which move of the own service is kept.
-void prune_and_record_facts(control& state, const std::vector<std::string>& keep_move_ids);
+// Drops the facts that the configuration in force, with these moves, no longer needs (prune_facts).
+// Records which move of the own service is kept.
+void prune_and_record_facts(control& state, const std::vector<std::string>& move_ids);
 
 // Adds the evidence of all instances for one interval and evaluates it (add_evidence, then
 // evaluate_evidence).
--- a/src/node/snapshot_builder.cpp
+++ b/src/node/snapshot_builder.cpp
@@ -1,5 +1,7 @@
 #include "node/snapshot_builder.hpp"
 
+#include <algorithm>
+
 namespace caraway {
 namespace {
 
@@ -37,6 +39,7 @@
     service_view view;
     view.m_spec = spec;
     view.m_old_version = spec.m_version;
+    view.m_excluded_versions = excluded_versions(facts, spec.m_name);
     if (spec.m_move) {
         view.m_new_version = spec.m_move->m_to;
         view.m_new_weight_permille =
@@ -122,15 +125,18 @@
         return error_kind::version_not_served;
     }
     const service_spec& service = found->second;
-    if (is_old_version(service, self.m_version)) {
+    const std::vector<std::string> excluded = excluded_versions(facts, service.m_name);
+    if (is_old_version(service, self.m_version, excluded)) {
         return error_kind::none;
     }
-    if (!service.m_move || self.m_version != service.m_move->m_to) {
-        return error_kind::version_not_served;
+    const bool is_target = service.m_move && self.m_version == service.m_move->m_to;
+    if (is_target && !is_suspended(facts, move_id(service.m_name, *service.m_move))) {
+        return error_kind::none;
     }
-    return is_suspended(facts, move_id(service.m_name, *service.m_move))
-               ? error_kind::version_suspended
-               : error_kind::none;
+    const bool is_excluded =
+        std::find(excluded.begin(), excluded.end(), self.m_version) != excluded.end();
+    return is_target || is_excluded ? error_kind::version_suspended
+                                    : error_kind::version_not_served;
 }
 
 std::shared_ptr<const routing_snapshot> build_snapshot(const snapshot_input& input,
--- a/src/peer/wire.cpp
+++ b/src/peer/wire.cpp
@@ -145,6 +145,8 @@
     to.set_holder(from.m_holder);
     to.set_reason(from.m_reason);
     to.set_revision(from.m_revision);
+    to.mutable_excluded_versions()->Assign(from.m_excluded_versions.begin(),
+                                           from.m_excluded_versions.end());
 }
 
 move_record from_wire(const wire::MoveRecord& from) {
@@ -162,6 +164,8 @@
     out.m_holder = from.holder();
     out.m_reason = from.reason();
     out.m_revision = from.revision();
+    out.m_excluded_versions.assign(from.excluded_versions().begin(),
+                                   from.excluded_versions().end());
     return out;
 }
 
@@ -361,7 +365,8 @@
     return std::all_of(records.begin(), records.end(), [](const move_record& record) {
         return record.m_stage < stage_weights_permille.size() &&
                record.m_weight_permille <= stage_weights_permille.back() &&
-               record.m_started_ms >= 0 && record.m_raised_ms >= 0 && record.m_deadline_ms >= 0;
+               record.m_started_ms >= 0 && record.m_raised_ms >= 0 && record.m_deadline_ms >= 0 &&
+               record.m_excluded_versions.size() <= max_excluded_versions;
     });
 }
 
--- a/src/traffic/backend_choice.cpp
+++ b/src/traffic/backend_choice.cpp
@@ -44,8 +44,8 @@
 }
 
 // Returns the backend servers of the service with their state as known to this node; those that do
-// not serve the version are marked as not usable. An empty version matches every version but the
-// target of a move.
+// not serve the version are marked as not usable. An empty version matches all old
+// versions (is_old_version).
 std::vector<candidate> make_candidates(const entry_call& call, std::string_view version,
                                        time_point now) {
     std::vector<candidate> candidates;
@@ -56,7 +56,8 @@
         candidate entry;
         entry.m_own_data_centre = backend.m_own_data_centre;
         const bool has_version = version.empty()
-                                     ? is_old_version(call.m_service->m_spec, backend.m_version)
+                                     ? is_old_version(call.m_service->m_spec, backend.m_version,
+                                                      call.m_service->m_excluded_versions)
                                      : backend.m_version == version;
         entry.m_usable = has_version &&
                          !(backend.m_is_own && call.m_snapshot->m_own_refusal != error_kind::none);
--- a/src/traffic/snapshot.hpp
+++ b/src/traffic/snapshot.hpp
@@ -58,7 +58,9 @@
     // suspended.
     std::uint32_t m_new_weight_permille = 0;
     std::string m_old_version;
-    std::string m_new_version;            // empty if no move is configured
+    std::string m_new_version; // empty if no move is configured
+    // Versions that get no calls because a move to them was not completed (excluded_versions).
+    std::vector<std::string> m_excluded_versions;
     std::vector<backend_view> m_backends; // alive, ready and in a data centre in service
     // All known instances that have not left, including dead ones. The registrars of keys are
     // selected from them.
--- a/tests/facts_test.cpp
+++ b/tests/facts_test.cpp
@@ -31,6 +31,7 @@
     value.m_weight_permille = static_cast<std::uint32_t>(random.below(1'001));
     value.m_state = static_cast<move_state>(random.below(3));
     value.m_revision = revision;
+    value.m_excluded_versions.assign(random.below(3), std::to_string(random.below(3)));
     return value;
 }
 
@@ -88,9 +89,9 @@
     }
 }
 
-// Guards against a digest that hides a missing fact, and against facts of old moves that are never
-// dropped.
-BOOST_AUTO_TEST_CASE(digest_shows_every_difference_and_pruning_drops_old_moves) {
+// Guards against a digest that hides a missing fact, against suspensions of old moves that are
+// never dropped, and against records of retired services that fill the table.
+BOOST_AUTO_TEST_CASE(digest_shows_every_difference_and_pruning_drops_old_facts) {
     random_source random(1);
     fact_table table;
     std::vector<std::uint64_t> digests{facts_digest(table)};
@@ -107,10 +108,25 @@
             digests.push_back(facts_digest(table));
         }
     }
-    prune_facts(table, {"move-1"});
+    const service_filter none_listed = [](std::string_view) { return false; };
+    const auto records = table.m_records;
+    prune_facts(table, {"move-1"}, none_listed);
     BOOST_TEST(table.m_suspensions.size() == 1U);
-    BOOST_TEST(table.m_records.empty());
-    BOOST_TEST(table.m_service_by_move.empty());
+    BOOST_TEST((table.m_records == records));
+    BOOST_TEST(table.m_service_by_move.size() == records.size());
+    for (std::size_t i = 0; i < 2 * max_unlisted_records; ++i) {
+        move_record retired;
+        retired.m_service = "retired-" + std::to_string(i);
+        retired.m_move_id = "move-of-" + retired.m_service;
+        retired.m_revision = 1'000 + i;
+        merge_record(table, retired);
+    }
+    prune_facts(table, {"move-1"}, [](std::string_view service) { return service == "retired-0"; });
+    BOOST_TEST(table.m_records.size() == max_unlisted_records + 1);
+    BOOST_TEST(table.m_service_by_move.size() == max_unlisted_records + 1);
+    BOOST_TEST(table.m_records.contains("retired-0"));
+    BOOST_TEST(!table.m_records.contains("retired-1"));
+    BOOST_TEST(table.m_records.contains("retired-1999"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/peer_test.cpp
+++ b/tests/peer_test.cpp
@@ -110,6 +110,7 @@
     record.m_weight_permille = 250;
     record.m_deadline_ms = 123'456;
     record.m_revision = 8;
+    record.m_excluded_versions = {"1", "2"};
     sent.m_records = {record};
     error reason;
     const auto received = decode_packet(encode_packet(sent), reason);
@@ -121,6 +122,9 @@
     BOOST_TEST((received->m_updates == sent.m_updates));
     BOOST_TEST((received->m_suspensions == sent.m_suspensions));
     BOOST_TEST((received->m_records == sent.m_records));
+    BOOST_TEST(encode_packet(sent).size() <= estimated_packet_bytes(sent));
+    sent.m_records[0].m_excluded_versions.assign(max_excluded_versions + 1, "v");
+    BOOST_TEST(!decode_packet(encode_packet(sent), reason).has_value());
 }
 
 // Guards against kept items that change on the way, and against a table that no node sends.
--- a/tests/version_move_test.cpp
+++ b/tests/version_move_test.cpp
@@ -379,6 +379,7 @@
     for (const move_state state : {move_state::running, move_state::done, move_state::taken_back}) {
         record.m_state = state;
         record.m_revision = 7;
+        record.m_excluded_versions.emplace_back(move_state_name(state));
         const std::string text = encode_move(record);
         BOOST_TEST((text.find('\n') == std::string::npos));
         BOOST_TEST((text.find(move_state_name(state)) != std::string::npos));
@@ -395,6 +396,11 @@
         BOOST_TEST(!decode_move(broken, 1).has_value(), key);
     }
     BOOST_TEST(!decode_move(R"({"weight_permille":1001})", 1).has_value());
+    for (const std::string_view malformed : {"7", "[7]", "\"1\"", "{}"}) {
+        std::string broken = encode_move(first_record());
+        broken.insert(1, R"("excluded_versions":)" + std::string(malformed) + ",");
+        BOOST_TEST(!decode_move(broken, 1).has_value(), malformed);
+    }
 }
 
 // Guards against rolling back a good version whose move runs late because a route with a third of a
