Leave out an operators' item that can't be used instead of all items

Cause: all items form one text that was parsed as a whole. An order whose service the configuration doesn't list, or with a malformed field, made it invalid.

Change: a move order that can't be used is left out as a whole and named in the log, the status and a gauge. A configuration that can't be read leaves the last one that could be in force and no longer holds up the orders. A move record that can't be read counts as absent, so that it doesn't hold up the moves of its service; the record that the nodes know is written again.

Why this works: each item is accepted by the store by itself, and none of them depends on an order. An order counts again once its service is listed, and its record tells whether its move has ended.

--- a/src/config/mesh.hpp
+++ b/src/config/mesh.hpp
@@ -112,6 +112,9 @@
     bool m_lists_data_centres = true;
     // Descriptions of values that this program doesn't know, each with what applies instead.
     std::vector<std::string> m_unknown_values{};
+    // Descriptions of operators' items that were left out because they can't be used, each with the
+    // reason.
+    std::vector<std::string> m_unusable_items{};
     client_limits m_limits{};
     friend bool operator==(const mesh&, const mesh&) = default;
 };
--- a/src/node/adapter.hpp
+++ b/src/node/adapter.hpp
@@ -40,8 +40,11 @@
     // submit one text, which an accepter validates. Otherwise the store rejects invalid items
     // itself, and nodes read them without an accepter.
     std::string m_operator_key_prefix;
-    // Builds a mesh from all items below the prefix. If any item is invalid, returns nothing and
-    // sets reason.
+    // Key of the item that holds the configuration itself, among the items below the prefix.
+    std::string m_configuration_key;
+    // Builds a mesh from all items below the prefix. Returns nothing and sets reason if the
+    // configuration is absent or invalid. Another item that can't be used is left out and named in
+    // m_unusable_items.
     std::function<std::optional<mesh>(std::span<const store_entry> items, error& reason)>
         m_parse_items;
     // Compares an item of the store with the one kept from before its restoration.
--- a/src/node/admin_pages.cpp
+++ b/src/node/admin_pages.cpp
@@ -54,6 +54,17 @@
     return moves;
 }
 
+// Returns the operators' items that are not in force because they can't be used, with the reasons.
+json::array unusable_items(const control& state) {
+    json::array items;
+    if (state.m_mesh) {
+        for (const std::string& item : state.m_mesh->m_unusable_items) {
+            items.emplace_back(item);
+        }
+    }
+    return items;
+}
+
 std::string status_json(const control& state) {
     return json::serialize(json::object{
         {"instance", state.m_settings.m_instance},
@@ -65,6 +76,7 @@
         {"calls_in_progress", static_cast<std::uint64_t>(state.m_traffic->calls_in_progress())},
         {"leases", lease_list(state)},
         {"moves", move_list(state)},
+        {"unusable_items", unusable_items(state)},
         {"members", member_list(state)}});
 }
 
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -219,6 +219,9 @@
     fact_table m_facts;
     kept_items m_kept_items; // in force though the store, restored from a copy, may lack them
     std::shared_ptr<const mesh> m_mesh; // in force on this node
+    // The operators' item with the last configuration that was valid. It applies while that of a
+    // later text is invalid.
+    std::optional<store_entry> m_usable_configuration;
     // Configurations that this node has parsed but that are not yet in force here, by version.
     std::map<std::uint64_t, std::shared_ptr<const mesh>> m_parsed_configs;
     // Cache of the latest text, packed for peers by the version they hold; 0 means the full text.
--- a/src/node/move_control.cpp
+++ b/src/node/move_control.cpp
@@ -119,26 +119,29 @@
     refresh_snapshot(state);
 }
 
-// Reads the move record from the store. A malformed record is logged and read again later.
+// Reads the move record from the store. A malformed one, which another writer left, is logged and
+// counts as absent, so that it is overwritten.
 void read_record(control& state, const std::string& service) {
     state.m_move.m_call_pending = true;
     state.m_store->get(record_key(state, service), [&state](const store_reply& reply) {
         move_role& role = state.m_move;
         role.m_call_pending = false;
         role.m_retry_at = state.now() + store_retry_pause;
-        if (reply.m_kind == error_kind::store_not_found) {
-            role.m_record_current = true;
-            role.m_holds_record = false;
-            role.m_record.reset();
-            role.m_stored_version = 0;
-            return;
-        }
-        if (reply.m_kind != error_kind::none) {
+        if (reply.m_kind != error_kind::none && reply.m_kind != error_kind::store_not_found) {
             return;
         }
-        const auto record = state.m_adapter.m_decode_move(reply.m_value, reply.m_revision);
+        const bool present = reply.m_kind == error_kind::none;
+        const auto record =
+            present ? state.m_adapter.m_decode_move(reply.m_value, reply.m_revision) : std::nullopt;
         if (!record) {
-            log_event(log_level::error, "move_record_malformed", {{"revision", reply.m_revision}});
+            if (present) {
+                log_event(log_level::error, "move_record_malformed",
+                          {{"revision", reply.m_revision}});
+            }
+            role.m_record_current = true;
+            role.m_holds_record = false;
+            role.m_record.reset();
+            role.m_stored_version = present ? reply.m_revision : 0;
             return;
         }
         role.m_retry_at = state.now();
@@ -215,17 +218,20 @@
     return decide_evidence(state, reports, service);
 }
 
-// Returns the record of the move in force if a restoration of the store has lost it: this node
-// knows a later one, of an earlier era, than the store holds. Otherwise returns null.
+// Returns the record of the move in force if the store has lost it: it has none that can be read,
+// or was restored from a copy and has an earlier one than this node knows. Otherwise returns null.
 const move_record* find_lost_record(const control& state, const service_spec& service) {
     const move_role& role = state.m_move;
     const auto known = state.m_facts.m_records.find(service.m_name);
-    if (known == state.m_facts.m_records.end() || known->second.m_move_id != role.m_move_id ||
-        era_of(known->second.m_revision) >= state.m_store->era()) {
+    if (known == state.m_facts.m_records.end() || known->second.m_move_id != role.m_move_id) {
         return nullptr;
     }
-    const std::uint64_t read_version = role.m_record ? role.m_record->m_revision : 0;
-    return known->second.m_revision > read_version ? &known->second : nullptr;
+    if (!role.m_record) {
+        return &known->second;
+    }
+    const bool restored = era_of(known->second.m_revision) < state.m_store->era();
+    const bool is_later = known->second.m_revision > role.m_record->m_revision;
+    return restored && is_later ? &known->second : nullptr;
 }
 
 // Lets the holder of the lease read the record again after a restoration of the store, also that of
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -50,6 +50,8 @@
           m_unknown_config_values(
               add_gauge_family("caraway_config_unknown_values",
                                "Values of the configuration in force that are not known here")),
+          m_unusable_items(add_gauge_family("caraway_operator_items_unusable",
+                                            "Operators' items that can't be used")),
           m_store_era(
               add_gauge_family("caraway_store_era", "Restorations of the store from a copy")),
           m_kept_items(add_gauge_family("caraway_kept_items",
@@ -137,6 +139,7 @@
     prometheus::Histogram& m_backend_latency;
     prometheus::Family<prometheus::Gauge>& m_config_version;
     prometheus::Family<prometheus::Gauge>& m_unknown_config_values;
+    prometheus::Family<prometheus::Gauge>& m_unusable_items;
     prometheus::Family<prometheus::Gauge>& m_store_era;
     prometheus::Family<prometheus::Gauge>& m_kept_items;
     prometheus::Family<prometheus::Gauge>& m_members;
@@ -202,6 +205,10 @@
     m_impl->m_unknown_config_values.Add({}).Set(static_cast<double>(count));
 }
 
+void node_metrics::set_unusable_items(std::uint64_t count) {
+    m_impl->m_unusable_items.Add({}).Set(static_cast<double>(count));
+}
+
 void node_metrics::set_store_era(std::uint64_t era) {
     m_impl->m_store_era.Add({}).Set(static_cast<double>(era));
 }
--- a/src/observe/metrics.hpp
+++ b/src/observe/metrics.hpp
@@ -37,6 +37,8 @@
     void set_config_version(std::uint64_t version);
     // Sets the number of values in the configuration in force that this program doesn't know.
     void set_unknown_config_values(std::uint64_t count);
+    // Sets the number of operators' items that are not in force because they can't be used.
+    void set_unusable_items(std::uint64_t count);
     // Sets how often the store was restored from a copy.
     void set_store_era(std::uint64_t era);
     // Sets the number of operators' items that are in force though the restored store lacks them.
