Complete no answer by an end that comes before the whole request arrived

Cause: a server that has read all that arrived and closes ends the connection in order, and only the rest of the upload meets a reset. If the node had handed the whole upload to the system, it saw no failed write, then an orderly end.

Evidence: all wrong answers are from servers that read what had arrived before they closed; none from those that reset or left bytes unread.

Change: at an orderly end such an answer is complete only if the peer has acknowledged all bytes of the request.

Why this works: the end acknowledges all that had arrived when the server closed. If something was missing then, the server can't have read the request, and its answer can't be told from a part; if all had arrived and was unread, the system resets the connection instead.

--- a/src/traffic/exchange.cpp
+++ b/src/traffic/exchange.cpp
@@ -159,7 +159,8 @@
     // Reads until the answer is complete. Returns false with the reason if it is invalid, ended
     // early, was rejected or made no progress, or if the call ended. request_cut states that the
     // connection failed while the request was written. The system reports a reset only once, there
-    // to the writer; the reader then sees an orderly end, which completes no answer.
+    // to the writer; the reader then sees an orderly end, which completes no answer. Nor does one
+    // before the whole request has arrived at the peer: the rest of it meets a reset.
     bool read(answer_reader& reader, bool request_cut, asio::yield_context yield, error& reason);
     byte_charge release_charge(const http_response& answer) {
         return m_account ? m_account->release(answer) : byte_charge();
@@ -202,7 +203,8 @@
             fail(reason, m_control.end_reason(true), "the call ended before its answer");
             return false;
         }
-        if (failed == asio::error::eof && !request_cut && reader.end()) {
+        if (failed == asio::error::eof && !request_cut &&
+            !has_unacknowledged_bytes(m_source.m_socket) && reader.end()) {
             return true;
         }
         if (failed) {
--- a/src/traffic/sockets.cpp
+++ b/src/traffic/sockets.cpp
@@ -1,6 +1,8 @@
 #include "traffic/sockets.hpp"
 
 #include <cerrno>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace caraway {
@@ -40,4 +42,9 @@
     return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool has_unacknowledged_bytes(tcp::socket& socket) {
+    int bytes = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 } // namespace caraway
--- a/src/traffic/sockets.hpp
+++ b/src/traffic/sockets.hpp
@@ -25,4 +25,9 @@
 // bytes.
 bool is_readable_or_closed(tcp::socket& socket);
 
+// Returns true if the peer hasn't acknowledged all bytes that were written to the socket. After an
+// orderly end by the peer, it closed the connection before they had arrived there. Returns false if
+// the system can't tell.
+bool has_unacknowledged_bytes(tcp::socket& socket);
+
 } // namespace caraway
--- a/tests/answer_end_test.cpp
+++ b/tests/answer_end_test.cpp
@@ -17,7 +17,10 @@
     std::string m_framing; // none, length or chunked
     std::size_t m_body = 0;
     std::size_t m_sent = 0; // bytes of the body that are sent; all of them: with its end
-    std::string m_end;      // reset, close (with the request unread) or finish (all is read)
+    // reset, close (with the request unread), drain (closes after it has read what has arrived, so
+    // that the connection ends in order before the rest meets a reset) or finish (all is read)
+    std::string m_end;
+    std::size_t m_read_first = 0; // bytes of the upload that are read before the answer
 
     // Whether the end of the answer is certain. The bytes of a whole one may still be lost when the
     // connection is reset.
@@ -25,7 +28,7 @@
     bool must_arrive() const { return is_whole() && m_end == "finish"; }
     // Path that selects this answer.
     std::string path() const {
-        return fmt::format("/once/{}/{}/{}/{}", m_framing, m_body, m_sent, m_end);
+        return fmt::format("/once/{}/{}/{}/{}/{}", m_framing, m_body, m_sent, m_end, m_read_first);
     }
 };
 
@@ -41,7 +44,7 @@
         for (const char* end : {"reset", "close", "finish"}) {
             for (const std::size_t body : {std::size_t{40}, large_body}) {
                 for (const std::size_t sent : {std::size_t{0}, body / 2, body - 1, body}) {
-                    answers.push_back({framing, body, sent, end});
+                    answers.push_back({framing, body, sent, end, 0});
                 }
             }
         }
@@ -55,10 +58,31 @@
     for (std::string part; std::getline(path, part, '/');) {
         parts.push_back(part);
     }
-    if (parts.size() < 6) {
+    if (parts.size() < 7) {
         return {"length", 2, 2, "keep"};
     }
-    return {parts[2], std::stoul(parts[3]), std::stoul(parts[4]), parts[5]};
+    return {parts[2], std::stoul(parts[3]), std::stoul(parts[4]), parts[5], std::stoul(parts[6])};
+}
+
+// Ends the connection as the answer says, or keeps it. unread is the part of the upload that was
+// not read before the answer.
+void end_connection(raw_connection& connection, const early_answer& answer, std::size_t unread) {
+    if (answer.m_end == "keep" || answer.m_end == "finish") {
+        connection.discard(unread);
+        return;
+    }
+    if (answer.m_end == "drain") {
+        // An orderly end completes the answer if all of the upload was read.
+        if (connection.discard_arrived() >= unread) {
+            connection.reset_on_close();
+        }
+        return;
+    }
+    // The answer arrives before the end does, while the request is being sent.
+    std::this_thread::sleep_for(pause_before_end);
+    if (answer.m_end == "reset") {
+        connection.reset_on_close();
+    }
 }
 
 // Sends the answer that the path names.
@@ -75,17 +99,11 @@
             body += answer.m_sent == answer.m_body ? "0\r\n\r\n" : "";
         }
         const std::string length = field_of(head, "Content-Length");
-        const std::size_t unread = length.empty() ? 0 : std::stoul(length);
+        const std::size_t upload = length.empty() ? 0 : std::stoul(length);
+        const std::size_t read_first = std::min(upload, answer.m_read_first);
+        connection.discard(read_first);
         connection.send(text.append("\r\n").append(body));
-        if (answer.m_end == "keep" || answer.m_end == "finish") {
-            connection.discard(unread);
-        } else {
-            // The answer arrives before the end does, while the request is being sent.
-            std::this_thread::sleep_for(pause_before_end);
-        }
-        if (answer.m_end == "reset") {
-            connection.reset_on_close();
-        }
+        end_connection(connection, answer, upload - read_first);
         if (answer.m_end != "keep") {
             return;
         }
@@ -158,7 +176,7 @@
         for (const std::size_t sent : {std::size_t{0}, std::size_t{20}, large_body / 2}) {
             for (const char* end : {"reset", "close"}) {
                 callers.emplace_back([this, sent, end, &wrong] {
-                    const early_answer answer{"none", large_body, sent, end};
+                    const early_answer answer{"none", large_body, sent, end, 0};
                     const auto got =
                         caller(entry()).call(answer.path(), std::string(upload_bytes, 'u'));
                     wrong += got.result_int() / 100 == 2 ? 1 : 0;
@@ -173,4 +191,40 @@
     }
 }
 
+// Guards against the same at other sizes: uploads that fit into the buffers of the sockets wholly,
+// in part or not at all, and servers that read some of them first. A server that closes after it
+// has read all that has arrived ends the connection in order; the rest of the upload then meets a
+// reset.
+BOOST_AUTO_TEST_CASE(early_answers_without_a_length_at_all_sizes) {
+    constexpr std::array<std::size_t, 6> uploads{40'000,    300'000,   1U << 20U,
+                                                 3U << 20U, 6U << 20U, upload_bytes};
+    std::vector<std::thread> callers;
+    callers.reserve(uploads.size());
+    std::atomic<int> wrong{0};
+    std::atomic<int> tried{0};
+    for (const std::size_t upload : uploads) {
+        callers.emplace_back([this, upload, &wrong, &tried] {
+            for (const char* end : {"reset", "close", "drain"}) {
+                for (const std::size_t read_first : {std::size_t{0}, std::size_t{1}, upload / 2}) {
+                    for (const std::size_t sent :
+                         {std::size_t{0}, std::size_t{40}, large_body / 2}) {
+                        const early_answer answer{"none", large_body, sent, end, read_first};
+                        const auto got =
+                            caller(entry()).call(answer.path(), std::string(upload, 'u'));
+                        const bool complete = got.result_int() / 100 == 2;
+                        wrong += complete ? 1 : 0;
+                        ++tried;
+                        BOOST_TEST_MESSAGE(answer.path()
+                                           << " of " << upload << ": " << got.result_int());
+                    }
+                }
+            }
+        });
+    }
+    for (std::thread& one : callers) {
+        one.join();
+    }
+    BOOST_TEST(wrong == 0, wrong << " of " << tried << " arrived as complete");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/raw_server.hpp
+++ b/tests/raw_server.hpp
@@ -41,6 +41,16 @@
             bytes -= size;
         }
     }
+    // Reads and discards the bytes that have arrived so far. Returns how many there were.
+    std::size_t discard_arrived() {
+        std::vector<char> buffer(64U << 10U);
+        std::size_t discarded = 0;
+        boost::system::error_code failed;
+        while (m_socket->available(failed) > 0) {
+            discarded += receive(buffer.data(), buffer.size());
+        }
+        return discarded;
+    }
     // Sends all bytes. Returns false if the peer has closed the connection.
     bool send(std::string_view bytes) {
         boost::system::error_code failed;
