Move reading and checking HTTP messages below store and traffic (no change of behaviour)

The store's client included a header of the traffic folder to read answers. Bodies, messages, the check of answers and their reader serve both and depend on neither; they are in src/http now.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 
 # One static library of platform and all folders under src except those of the programs.
 LIB_SRC  := $(wildcard src/base/*.cpp src/config/*.cpp src/ctl/*.cpp src/decide/*/*.cpp src/store/*.cpp \
-              src/peer/*.cpp src/observe/*.cpp src/traffic/*.cpp src/node/*.cpp platform/*.cpp)
+              src/http/*.cpp src/peer/*.cpp src/observe/*.cpp src/traffic/*.cpp src/node/*.cpp platform/*.cpp)
 GEN_SRC  := $(wildcard src/peer/gen/*.cc)
 LIB_OBJ  := $(LIB_SRC:%.cpp=$(BUILD)/%.o) $(GEN_SRC:%.cc=$(BUILD)/%.o)
 LIB      := $(BUILD)/libcaraway.a
@@ -113,8 +113,8 @@
 # environment variable FUZZ_TARGET names.
 LIBFUZZER_SRC := $(wildcard src/base/*.cpp src/config/*.cpp src/decide/*/*.cpp) src/ctl/audit.cpp \
                  src/ctl/records.cpp src/observe/log.cpp src/observe/span.cpp src/peer/wire.cpp \
-                 src/peer/kept_items_wire.cpp src/store/store_json.cpp src/traffic/http_message.cpp \
-                 src/traffic/answer_reader.cpp src/traffic/server_answer.cpp tests/fuzz/targets.cpp \
+                 src/peer/kept_items_wire.cpp src/store/store_json.cpp src/http/message.cpp \
+                 src/http/answer_reader.cpp src/http/server_answer.cpp tests/fuzz/targets.cpp \
                  tests/fuzz/answer_target.cpp tests/fuzz/libfuzzer_main.cpp
 libfuzzer:
 	$(MAKE) BUILD=build-libfuzzer CXX=clang++ build-libfuzzer/bin/libfuzzer \
--- a/src/traffic/answer_reader.cpp
+++ b/src/http/answer_reader.cpp
@@ -1,6 +1,6 @@
-#include "traffic/answer_reader.hpp"
+#include "http/answer_reader.hpp"
 
-#include "traffic/server_answer.hpp"
+#include "http/server_answer.hpp"
 
 namespace caraway {
 namespace {
--- a/src/traffic/answer_reader.hpp
+++ b/src/http/answer_reader.hpp
@@ -6,7 +6,7 @@
 #include <string_view>
 
 #include "base/error.hpp"
-#include "traffic/http_message.hpp"
+#include "http/message.hpp"
 
 namespace caraway {
 
--- a/src/traffic/body_pieces.cpp
+++ b/src/http/body_pieces.cpp
@@ -1,4 +1,4 @@
-#include "traffic/body_pieces.hpp"
+#include "http/body_pieces.hpp"
 
 namespace caraway {
 
--- a/src/traffic/http_message.cpp
+++ b/src/http/message.cpp
@@ -1,4 +1,4 @@
-#include "traffic/http_message.hpp"
+#include "http/message.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/traffic/http_message.hpp
+++ b/src/http/message.hpp
@@ -12,7 +12,7 @@
 
 #include "base/clock.hpp"
 #include "base/error.hpp"
-#include "traffic/body_pieces.hpp"
+#include "http/body_pieces.hpp"
 
 namespace caraway {
 
--- a/src/traffic/server_answer.cpp
+++ b/src/http/server_answer.cpp
@@ -1,4 +1,4 @@
-#include "traffic/server_answer.hpp"
+#include "http/server_answer.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/traffic/server_answer.hpp
+++ b/src/http/server_answer.hpp
@@ -8,7 +8,7 @@
 
 #include "base/error.hpp"
 #include "config/settings.hpp"
-#include "traffic/http_message.hpp"
+#include "http/message.hpp"
 
 namespace caraway {
 
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -10,9 +10,9 @@
 #include <deque>
 
 #include "base/dead_peer.hpp"
+#include "http/answer_reader.hpp"
 #include "store/store_era.hpp"
 #include "store/store_version.hpp"
-#include "traffic/answer_reader.hpp"
 
 namespace caraway {
 namespace {
--- a/src/traffic/admin.cpp
+++ b/src/traffic/admin.cpp
@@ -10,7 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
-#include "traffic/http_message.hpp"
+#include "http/message.hpp"
 #include "traffic/sockets.hpp"
 
 namespace caraway {
--- a/src/traffic/backend_side.cpp
+++ b/src/traffic/backend_side.cpp
@@ -5,9 +5,9 @@
 
 #include "config/mesh.hpp"
 #include "decide/traffic/pushback.hpp"
+#include "http/server_answer.hpp"
 #include "observe/log.hpp"
 #include "traffic/exchange.hpp"
-#include "traffic/server_answer.hpp"
 
 namespace caraway {
 namespace {
--- a/src/traffic/claims_over_http.hpp
+++ b/src/traffic/claims_over_http.hpp
@@ -11,8 +11,8 @@
 #include <vector>
 
 #include "decide/leases/claim.hpp"
+#include "http/message.hpp"
 #include "traffic/call_control.hpp"
-#include "traffic/http_message.hpp"
 
 namespace caraway {
 
--- a/src/traffic/exchange.hpp
+++ b/src/traffic/exchange.hpp
@@ -6,11 +6,11 @@
 
 #include <boost/asio/spawn.hpp>
 
-#include "traffic/answer_reader.hpp"
+#include "http/answer_reader.hpp"
+#include "http/message.hpp"
 #include "traffic/byte_budget.hpp"
 #include "traffic/call_control.hpp"
 #include "traffic/connection_pool.hpp"
-#include "traffic/http_message.hpp"
 
 namespace caraway {
 
--- a/src/traffic/known_speed.hpp
+++ b/src/traffic/known_speed.hpp
@@ -7,7 +7,7 @@
 
 #include "decide/traffic/balance.hpp"
 #include "decide/traffic/server_speed.hpp"
-#include "traffic/http_message.hpp"
+#include "http/message.hpp"
 #include "traffic/snapshot.hpp"
 
 namespace caraway {
--- a/src/traffic/link_pacer.hpp
+++ b/src/traffic/link_pacer.hpp
@@ -4,8 +4,8 @@
 #include <mutex>
 
 #include "decide/traffic/link_pacing.hpp"
+#include "http/message.hpp"
 #include "traffic/call_control.hpp"
-#include "traffic/http_message.hpp"
 
 namespace caraway {
 
--- a/src/traffic/request_reading.hpp
+++ b/src/traffic/request_reading.hpp
@@ -8,8 +8,8 @@
 #include <boost/asio/spawn.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include "http/message.hpp"
 #include "traffic/byte_budget.hpp"
-#include "traffic/http_message.hpp"
 #include "traffic/traffic_context.hpp"
 
 namespace caraway {
--- a/tests/fuzz/answer_pieces.hpp
+++ b/tests/fuzz/answer_pieces.hpp
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-#include "traffic/answer_reader.hpp"
+#include "http/answer_reader.hpp"
 
 namespace caraway {
 
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -20,10 +20,10 @@
 #include "decide/configuration/acceptance.hpp"
 #include "decide/traffic/server_speed.hpp"
 #include "decide/versions/version_move.hpp"
+#include "http/message.hpp"
 #include "observe/span.hpp"
 #include "peer/wire.hpp"
 #include "store/store_json.hpp"
-#include "traffic/http_message.hpp"
 
 namespace caraway {
 namespace {
--- a/tests/held_bytes_test.cpp
+++ b/tests/held_bytes_test.cpp
@@ -3,8 +3,8 @@
 #include <atomic>
 
 #include "decide/traffic/held_bytes.hpp"
+#include "http/body_pieces.hpp"
 #include "tests/support.hpp"
-#include "traffic/body_pieces.hpp"
 #include "traffic/byte_budget.hpp"
 
 using namespace caraway;
--- a/tests/server_answer_test.cpp
+++ b/tests/server_answer_test.cpp
@@ -1,7 +1,7 @@
 // Tests of the check of an answer's head and of what an answer says about the request.
+#include "http/server_answer.hpp"
 #include "platform/platform_adapter.hpp"
 #include "tests/support.hpp"
-#include "traffic/server_answer.hpp"
 
 using namespace caraway;
 
