--- a/src/node/config_sync.cpp
+++ b/src/node/config_sync.cpp
@@ -71,7 +71,9 @@
     error reason;
     auto parsed = state.m_adapter.m_parse_items(in_force, reason);
     if (parsed) {
-        state.m_usable_configuration = *find_configuration(state, in_force);
+        if (const store_entry* configuration = find_configuration(state, in_force)) {
+            state.m_usable_configuration = *configuration;
+        }
         return parsed;
     }
     log_event(log_level::error, "config_rejected",
