Acknowledge no departure whose write a restoration may have lost

What callers would see: calls at a server after its acknowledged leave, if the store was restored from a copy while the leave was written and the node was lost before it wrote it again. Found by reading the change.

Cause: a conditional write that is answered in a later era is reported as a conflict. The node took every conflict for "the key exists already, so the store holds the departure".

Evidence: the new test, in which the stand-in loses the write to a restoration before it answers, fails on: acknowledged with 200 while the store holds no departure.

Change: a conflict counts only with a revision, which the store states for a key that exists. Without one the server gets 503 and says it again.

Result: the test passes; the two tests of restorations and of the acknowledgement and restored_store_test pass as before.

--- a/src/node/departures.cpp
+++ b/src/node/departures.cpp
@@ -59,11 +59,17 @@
     }
 }
 
+// Returns whether the store holds a departure after this reply to its write. The key names the
+// departure, so one that exists already holds it. A conflict without a revision says that the store
+// was restored meanwhile and may have lost the write.
+bool is_held(const store_reply& reply) {
+    const bool exists = reply.m_kind == error_kind::store_conflict && reply.m_revision != 0;
+    return reply.m_kind == error_kind::none || exists;
+}
+
 // Ends the write of a departure and tells those who wait for it.
 void finish_write(control& state, const server_departure& departure, const store_reply& reply) {
-    // The key names the departure, so an existing one holds it.
-    const bool stored =
-        reply.m_kind == error_kind::none || reply.m_kind == error_kind::store_conflict;
+    const bool stored = is_held(reply);
     log_event(stored ? log_level::info : log_level::warning, "departure_stored",
               {{"server", departure.m_server},
                {"stored", stored},
--- a/tests/integration/departures_test.py
+++ b/tests/integration/departures_test.py
@@ -181,10 +181,29 @@
         departure.check_no_calls()
 
 
+def test_a_write_lost_to_a_restoration_is_not_acknowledged():
+    """Guards against an acknowledgement of a departure whose write the store has lost by the time of
+    its answer: the answer is of a later era."""
+    with Platform() as platform:
+        store, server = platform.store, platform.instances[1].server
+        server.stopped.set()
+        store.take_copy()
+        store.lose_write_of = "caraway/departure/"
+
+        def acknowledged():
+            status = server.leave()
+            held = any(key.startswith("caraway/departure/") for key in store.items)
+            assert held or status != 200, "acknowledged, but the store doesn't hold it"
+            return status == 200
+        wait_until(acknowledged, 3, "acknowledged")
+        assert store.era == 1
+
+
 if __name__ == "__main__":
     run_tests([test_a_leave_outlives_all_nodes, test_draining_outlives_all_nodes,
                test_a_leave_outlives_two_kills, test_a_late_report_while_only_some_nodes_are_back,
                test_a_late_report_while_the_store_is_away,
                test_a_node_restarted_without_the_store_learns_from_members,
                test_a_departure_is_acknowledged_once_the_store_holds_it,
-               test_a_departure_outlives_a_restoration_of_the_store])
+               test_a_departure_outlives_a_restoration_of_the_store,
+               test_a_write_lost_to_a_restoration_is_not_acknowledged])
--- a/tests/integration/platform_standins.py
+++ b/tests/integration/platform_standins.py
@@ -74,6 +74,7 @@
         self.end_watches = True  # whether a restoration ends waiting watches
         self.endless = None
         self.hidden_key_parts = ()  # lists omit keys that contain one of these parts
+        self.lose_write_of = None  # the next write of a key with this part is lost to a restoration
         self.changed = threading.Condition()
         store = self
 
@@ -260,7 +261,11 @@
                 self._write(row["key"], base64.b64decode(row["value"]), row["lease"])
             for key in change["deletes"]:
                 self._delete(key)
-            return handler.reply(200, {"revision": self.revision})
+            answer = {"revision": self.revision}
+            if self.lose_write_of and any(self.lose_write_of in r["key"] for r in change["writes"]):
+                self.lose_write_of = None
+                self.restore()
+            return handler.reply(200, answer)
 
 
 class ReportingServer:
