Exclude the target of an order that was replaced before it had a record

What callers would see: full traffic at an untested version whose order was replaced or deleted within the moment in which its move had no record yet, for example while the store is slow. Found by reading the change.

Cause: what is known of a version followed from move records alone, and an order without a record left none.

Evidence: version_knowledge_test (orders without a record) fails on the code before this commit: the version counts as an old one after the next order and after a deletion.

Change: a node notes the target of an order that leaves force, unless a record from after the order says what became of it. The first record of the next move states the noted targets, so that all nodes and later processes know them.

Why this works: between the order and that record each node that had the order excludes its target, and afterwards the record does. A note never outweighs a record: comparing move ids instead would exclude a good version at a node that has the next move's record before its order; a test holds that case too.

--- a/src/decide/versions/facts.cpp
+++ b/src/decide/versions/facts.cpp
@@ -54,6 +54,25 @@
     return hash_bytes(bytes, 2);
 }
 
+// Appends a version unless it is there.
+void add_version(std::vector<std::string>& versions, const std::string& version) {
+    if (std::find(versions.begin(), versions.end(), version) == versions.end()) {
+        versions.push_back(version);
+    }
+}
+
+// From the record of a move on, the record says whether its target is excluded.
+void forget_unrecorded_target(fact_table& facts, const move_record& record) {
+    const auto found = facts.m_unrecorded_targets.find(record.m_service);
+    if (found == facts.m_unrecorded_targets.end()) {
+        return;
+    }
+    std::erase(found->second, record.m_to);
+    if (found->second.empty()) {
+        facts.m_unrecorded_targets.erase(found);
+    }
+}
+
 // Drops the earliest records of services that are not listed, if there are too many of them.
 void drop_unlisted_records(fact_table& facts, const service_filter& is_listed) {
     std::vector<const move_record*> unlisted;
@@ -107,11 +126,13 @@
         if (facts.m_records.size() >= max_facts) {
             return false;
         }
+        forget_unrecorded_target(facts, value);
         facts.m_records.emplace(value.m_service, value);
         facts.m_service_by_move[value.m_move_id] = value.m_service;
         return true;
     }
     if (record_order(found->second) < record_order(value)) {
+        forget_unrecorded_target(facts, value);
         facts.m_service_by_move.erase(found->second.m_move_id);
         found->second = value;
         facts.m_service_by_move[value.m_move_id] = value.m_service;
@@ -174,9 +195,40 @@
 }
 
 std::vector<std::string> excluded_versions(const fact_table& facts, std::string_view service) {
-    const auto found = facts.m_records.find(service);
-    return found == facts.m_records.end() ? std::vector<std::string>{}
-                                          : excluded_versions(found->second);
+    std::vector<std::string> versions;
+    if (const auto found = facts.m_records.find(service); found != facts.m_records.end()) {
+        versions = excluded_versions(found->second);
+    }
+    if (const auto found = facts.m_unrecorded_targets.find(service);
+        found != facts.m_unrecorded_targets.end()) {
+        for (const std::string& target : found->second) {
+            add_version(versions, target);
+        }
+    }
+    return versions;
+}
+
+void note_replaced_orders(fact_table& facts, const mesh& before, const mesh& after) {
+    for (const auto& [name, service] : before.m_services) {
+        if (!service.m_move || !service.m_version.empty()) {
+            continue;
+        }
+        const auto next = after.m_services.find(name);
+        const bool in_force = next != after.m_services.end() && next->second.m_move &&
+                              *next->second.m_move == *service.m_move;
+        // A record from after the order is that of its move, or states what became of its target.
+        const auto record = facts.m_records.find(name);
+        const bool recorded = record != facts.m_records.end() &&
+                              record->second.m_revision > service.m_move->m_order_revision;
+        if (in_force || recorded) {
+            continue;
+        }
+        std::vector<std::string>& targets = facts.m_unrecorded_targets[name];
+        add_version(targets, service.m_move->m_to);
+        if (targets.size() > max_excluded_versions) {
+            targets.erase(targets.begin());
+        }
+    }
 }
 
 std::vector<std::string> inherit_exclusions(std::vector<std::string> excluded,
@@ -196,6 +248,10 @@
     std::erase_if(facts.m_suspensions, [&](const auto& entry) {
         return !in_force.contains(entry.first) && !facts.m_service_by_move.contains(entry.first);
     });
+    if (facts.m_unrecorded_targets.size() > max_facts) {
+        std::erase_if(facts.m_unrecorded_targets,
+                      [&](const auto& entry) { return !is_listed(entry.first); });
+    }
 }
 
 } // namespace caraway
--- a/src/decide/versions/facts.hpp
+++ b/src/decide/versions/facts.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/clock.hpp"
+#include "config/mesh.hpp"
 
 namespace caraway {
 
@@ -64,6 +65,9 @@
     std::map<std::string, move_record, std::less<>> m_records;    // by service
     // Service of each record by move id, so that is_suspended doesn't scan m_records.
     std::map<std::string, std::string, std::less<>> m_service_by_move;
+    // Targets of orders that were replaced or deleted before this node knew a record of their move,
+    // by service. Nodes don't exchange them; the first record of the next move states them.
+    std::map<std::string, std::vector<std::string>, std::less<>> m_unrecorded_targets;
 };
 
 // Upper bound of the number of suspensions and of records.
@@ -102,6 +106,11 @@
 // completed, and no later move to them was. The target of the move in force may be among them.
 std::vector<std::string> excluded_versions(const fact_table& facts, std::string_view service);
 
+// Notes the targets of the orders in force before that are not in force after, unless a record from
+// after the order says what became of them. Orders of services whose serving version is configured
+// are left out.
+void note_replaced_orders(fact_table& facts, const mesh& before, const mesh& after);
+
 // Returns the versions that the first record of a move to this version states as excluded: those
 // that are excluded before it, without the target and at most the latest max_excluded_versions.
 std::vector<std::string> inherit_exclusions(std::vector<std::string> excluded,
--- a/src/node/config_sync.cpp
+++ b/src/node/config_sync.cpp
@@ -159,6 +159,9 @@
     log_data_centre_changes(before.get(), *state.m_mesh, version);
     report_unknown_values(state, *state.m_mesh, version);
     report_unusable_items(state, before.get(), *state.m_mesh, version);
+    if (before) {
+        note_replaced_orders(state.m_facts, *before, *state.m_mesh);
+    }
     prune_and_record_facts(state, move_ids(*state.m_mesh));
     update_facts_digest(state);
     state.m_snapshot_dirty = true;
--- a/tests/version_knowledge_test.cpp
+++ b/tests/version_knowledge_test.cpp
@@ -22,7 +22,11 @@
     // Puts an order in force whose move has no record yet.
     void order(const std::string& version) {
         order_in_force() = move_spec{version, {}, ++m_revision, std::chrono::seconds(16)};
-        prune();
+        put_in_force();
+    }
+    void delete_order() {
+        order_in_force().reset();
+        put_in_force();
     }
     // Writes the first record of the move, and then another one with the state.
     void move(const std::string& version, move_state state) {
@@ -36,12 +40,14 @@
         record.m_revision = ++m_revision;
         merge_record(m_facts, record);
     }
-    void prune() {
+    void put_in_force() {
         std::vector<std::string> moves;
         const auto service = m_config.m_services.find("pour");
         if (service != m_config.m_services.end() && service->second.m_move) {
             moves.push_back(move_id("pour", *service->second.m_move));
         }
+        note_replaced_orders(m_facts, m_before, m_config);
+        m_before = m_config;
         prune_facts(m_facts, moves,
                     [this](std::string_view name) { return m_config.m_services.contains(name); });
     }
@@ -71,6 +77,7 @@
     }
 
     mesh m_config;
+    mesh m_before; // in force before the last change
     fact_table m_facts;
     std::uint64_t m_revision = 0;
 };
@@ -105,20 +112,49 @@
     order("v3");
     BOOST_TEST(old_versions() == "v1 v4 ");
     move("v3", move_state::running);
-    order_in_force().reset();
-    prune();
+    delete_order();
     BOOST_TEST(old_versions() == "v1 v4 ");
     BOOST_TEST((refusal("v3") == error_kind::version_suspended));
 }
 
+// Guards against full traffic for a version whose order was replaced or deleted so soon that its
+// move had no record yet, also while a later record names other versions.
+BOOST_AUTO_TEST_CASE(a_version_whose_order_had_no_record_is_excluded) {
+    order("v2");
+    order("v3");
+    BOOST_TEST(old_versions() == "v1 v4 ");
+    BOOST_TEST((refusal("v2") == error_kind::version_suspended));
+    move("v3", move_state::done);
+    restart();
+    BOOST_TEST(old_versions() == "v1 v4 "); // v3 is the target
+    order("v4");
+    delete_order();
+    BOOST_TEST(old_versions() == "v1 v3 ");
+    move("v2", move_state::done);
+    move("v5", move_state::running);
+    BOOST_TEST(old_versions() == "v1 v2 v3 ");
+}
+
+// Guards against a good version that a node excludes because it learns of the next move's record
+// before it has that move's order.
+BOOST_AUTO_TEST_CASE(a_record_that_arrives_before_its_order_says_what_is_excluded) {
+    move("v2", move_state::done);
+    const mesh order_of_v2 = m_config;
+    move("v3", move_state::running);
+    // The node has this record, and the order of v3 replaces that of v2 only now.
+    m_before = order_of_v2;
+    put_in_force();
+    BOOST_TEST(old_versions() == "v1 v2 v4 ");
+    BOOST_TEST((refusal("v2") == error_kind::none));
+}
+
 // Guards against a version that is done and loses its calls when the next order comes, is taken
 // back, or all orders are deleted.
 BOOST_AUTO_TEST_CASE(a_version_that_is_done_serves_on) {
     move("v2", move_state::done);
     move("v3", move_state::taken_back);
     BOOST_TEST(old_versions() == "v1 v2 v4 ");
-    order_in_force().reset();
-    prune();
+    delete_order();
     BOOST_TEST((refusal("v2") == error_kind::none));
     BOOST_TEST((refusal("v3") == error_kind::version_suspended));
 }
@@ -148,9 +184,9 @@
     merge_suspension(m_facts, {move_id("pour", *order_in_force()), "pour", "v3", "a", "fails", 1});
     const service_spec listed = m_config.m_services.at("pour");
     m_config.m_services.clear();
-    prune();
+    put_in_force();
     m_config.m_services["pour"] = listed;
-    prune();
+    put_in_force();
     BOOST_TEST(old_versions() == "v1 v4 ");
     BOOST_TEST((refusal("v3") == error_kind::version_suspended));
     restart();
