--- a/src/node/departures.cpp
+++ b/src/node/departures.cpp
@@ -1,6 +1,7 @@
-// Departures of the servers beside this node in the store. An acknowledged departure outlives the
-// loss of all processes there; a process that starts reads it before its server gets calls, since a
-// report that was sent before the departure may arrive seconds later.
+// Departures of the servers beside this node. The store holds a departure before it is
+// acknowledged, so that it outlives the loss of all processes. A process that starts reads it
+// before its server gets calls, since a report that was sent before the departure may arrive
+// seconds later.
 #include <algorithm>
 
 #include <fmt/format.h>
@@ -34,12 +35,11 @@
     return fmt::format("{}{:016x}", own_prefix(state), hash_bytes(value));
 }
 
-pending_departure* find_pending(control& state, const server_departure& departure) {
-    auto& pending = state.m_departures.m_pending;
-    const auto found = std::find_if(pending.begin(), pending.end(), [&](const auto& entry) {
+// Returns the write of a departure that is in progress, or the end.
+auto find_pending(std::vector<pending_departure>& pending, const server_departure& departure) {
+    return std::find_if(pending.begin(), pending.end(), [&](const pending_departure& entry) {
         return entry.m_departure == departure;
     });
-    return found == pending.end() ? nullptr : &*found;
 }
 
 bool is_stored(const control& state, const server_departure& departure) {
@@ -77,13 +77,13 @@
     if (stored) {
         remember_stored(state, departure);
     }
-    pending_departure* pending = find_pending(state, departure);
-    if (pending == nullptr) {
+    auto& pending = state.m_departures.m_pending;
+    const auto written = find_pending(pending, departure);
+    if (written == pending.end()) {
         return;
     }
-    const std::vector<departure_callback> waiting = std::move(pending->m_waiting);
-    state.m_departures.m_pending.erase(state.m_departures.m_pending.begin() +
-                                       (pending - state.m_departures.m_pending.data()));
+    const std::vector<departure_callback> waiting = std::move(written->m_waiting);
+    pending.erase(written);
     for (const departure_callback& done : waiting) {
         done(stored);
     }
@@ -206,7 +206,8 @@
         done(true);
         return;
     }
-    if (pending_departure* pending = find_pending(state, departure)) {
+    const auto pending = find_pending(role.m_pending, departure);
+    if (pending != role.m_pending.end()) {
         if (pending->m_waiting.size() >= max_waiting_requests) {
             done(false);
         } else {
--- a/tests/integration/departures_test.py
+++ b/tests/integration/departures_test.py
@@ -49,22 +49,10 @@
         assert answered > SOME_CALLS, answered
 
 
-def kill(instances):
-    for instance in instances:
-        instance.node.kill()
-
-
-def start(instances):
-    for instance in instances:
-        instance.start()
-    wait_until(lambda: all(i.ready() for i in instances), READY_S, "ready again")
-
-
 def check_all_killed(depart):
     with Platform() as platform:
         departure = Departure(platform, depart)
-        kill(platform.instances)
-        start(platform.instances)
+        platform.restart_all()
         departure.send_late_report()
         departure.check_no_calls()
 
@@ -86,8 +74,7 @@
     with Platform() as platform:
         departure = Departure(platform, ReportingServer.leave)
         for _ in range(2):
-            kill(platform.instances)
-            start(platform.instances)
+            platform.restart_all()
         departure.send_late_report()
         departure.check_no_calls()
 
@@ -97,10 +84,10 @@
     keeps it after the others are back."""
     with Platform() as platform:
         departure = Departure(platform, ReportingServer.leave)
-        kill(platform.instances)
-        start([departure.left])
+        platform.kill(platform.instances)
+        platform.start([departure.left])
         departure.send_late_report()
-        start([i for i in platform.instances if i is not departure.left])
+        platform.start([i for i in platform.instances if i is not departure.left])
         departure.check_no_calls()
 
 
@@ -110,7 +97,7 @@
     with Platform() as platform:
         departure = Departure(platform, ReportingServer.leave)
         platform.store.down = True
-        kill(platform.instances)
+        platform.kill(platform.instances)
         for instance in platform.instances:
             instance.start()
         departure.send_late_report()
@@ -120,18 +107,32 @@
         departure.check_no_calls()
 
 
+def test_a_late_report_as_the_store_comes_back():
+    """Guards against a node that started while the store was away, has taken the late report and
+    uses its server as soon as it has a configuration."""
+    with Platform() as platform:
+        departure = Departure(platform, ReportingServer.leave)
+        platform.store.down = True
+        platform.kill(platform.instances)
+        for instance in platform.instances:
+            instance.start()
+        departure.send_late_report()
+        platform.store.down = False
+        departure.check_no_calls()
+
+
 def test_a_node_restarted_without_the_store_learns_from_members():
     """Guards against a departure that a node forgets when it alone is restarted while the store
     doesn't answer, and against one for which its next server has to wait."""
     with Platform() as platform:
         departure = Departure(platform, ReportingServer.leave)
         platform.store.down = True
-        kill([departure.left])
-        start([departure.left])
+        platform.kill([departure.left])
+        platform.start([departure.left])
         departure.send_late_report()
         departure.check_no_calls()
         other = platform.instances[0]
-        kill([other])
+        platform.kill([other])
         other.start()
         started_at = time.monotonic()
         wait_until(lambda: other.ready() and other.call("/orders/a")[0] == 200, READY_S, "serves")
@@ -175,8 +176,7 @@
         platform.store.restore()
         wait_until(lambda: any(key.startswith("caraway/departure/") for key in platform.store.items),
                    3, "written again")
-        kill(platform.instances)
-        start(platform.instances)
+        platform.restart_all()
         departure.send_late_report()
         departure.check_no_calls()
 
@@ -203,6 +203,7 @@
     run_tests([test_a_leave_outlives_all_nodes, test_draining_outlives_all_nodes,
                test_a_leave_outlives_two_kills, test_a_late_report_while_only_some_nodes_are_back,
                test_a_late_report_while_the_store_is_away,
+               test_a_late_report_as_the_store_comes_back,
                test_a_node_restarted_without_the_store_learns_from_members,
                test_a_departure_is_acknowledged_once_the_store_holds_it,
                test_a_departure_outlives_a_restoration_of_the_store,
--- a/tests/integration/operator_items_test.py
+++ b/tests/integration/operator_items_test.py
@@ -5,7 +5,7 @@
 
 from harness import get_json, run_tests, wait_until
 from platform_mesh import FIRST_ROUTES, config
-from platform_test import APPLY_S, EVACUATE_S, READY_S, Platform
+from platform_test import APPLY_S, EVACUATE_S, Platform
 
 MOVE_S = 1      # time that an order gives
 ENDED_S = 15    # until a move without a server of its version is taken back
@@ -49,14 +49,6 @@
     platform.store.delete("op/evacuate/north")
 
 
-def restart_all(platform):
-    for instance in platform.instances:
-        instance.node.kill()
-    for instance in platform.instances:
-        instance.start()
-    wait_until(lambda: all(i.ready() for i in platform.instances), READY_S, "ready again")
-
-
 def status(store):
     return json.loads(store.value("status/rollout/stock") or "{}")
 
@@ -76,7 +68,7 @@
         items = get_json(platform.instances[0].admin, "/status")["unusable_items"]
         assert len(items) == 1 and "op/rollout/stock" in items[0], items
         check_evacuation(platform)
-        restart_all(platform)
+        platform.restart_all()
         check_in_force(platform, "after a restart of all nodes")
         store.put("op/config", config(11, FIRST_ROUTES))
         wait_until(lambda: all(i.call("/both/a")[0] == 200 for i in platform.instances), APPLY_S,
@@ -129,7 +121,7 @@
         store.put("op/config", retired_config(8))
         check_in_force(platform, "a configuration")
         check_evacuation(platform)
-        restart_all(platform)
+        platform.restart_all()
         check_in_force(platform, "after a restart of all nodes")
         items = get_json(platform.instances[0].admin, "/status")["unusable_items"]
         assert len(items) == len(UNUSABLE_ORDERS), items
--- a/tests/integration/platform_test.py
+++ b/tests/integration/platform_test.py
@@ -41,6 +41,22 @@
             wait_until(lambda: all(i.call(path)[0] == 200 for i in self.instances), READY_S, path)
         return self
 
+    @staticmethod
+    def kill(instances):
+        for instance in instances:
+            instance.node.kill()
+
+    @staticmethod
+    def start(instances):
+        for instance in instances:
+            instance.start()
+        wait_until(lambda: all(i.ready() for i in instances), READY_S, "ready again")
+
+    def restart_all(self):
+        """Kills all nodes at the same moment and starts them again."""
+        self.kill(self.instances)
+        self.start(self.instances)
+
     def __exit__(self, kind, value, trace):
         for instance in self.instances:
             instance.server.stopped.set()
--- a/tests/integration/version_orders_test.py
+++ b/tests/integration/version_orders_test.py
@@ -8,7 +8,7 @@
 from harness import run_tests, wait_until
 from platform_mesh import Instance
 from platform_standins import ReportingServer
-from platform_test import APPLY_S, CONTACT_S, READY_S, Platform
+from platform_test import APPLY_S, READY_S, Platform
 
 MOVE_S = 12      # time that an order gives
 OBSERVED_S = 3   # for which calls are watched after a change
@@ -68,14 +68,6 @@
             return (status.get("target_version"), status.get("state")) == (version, state)
         wait_until(reached, MOVE_S + 5, f"{version} is {state}")
 
-    def restart_all(self):
-        """Kills all nodes at the same moment and starts them again."""
-        for instance in self.instances:
-            instance.node.kill()
-        for instance in self.instances:
-            instance.start()
-        wait_until(lambda: all(i.ready() for i in self.instances), READY_S, "ready again")
-
     def check_no_calls(self, instances, what):
         """Checks that the servers get no calls, and that others do."""
         time.sleep(APPLY_S)
