Move the operators' items as a text above the store (no change of behaviour)

config/item_text included store/store_codec upwards. It is now decide/configuration/item_list, with the encoding of copy_complete_until, so that copy_marker only dates copies.

--- a/src/decide/configuration/copy_marker.cpp
+++ b/src/decide/configuration/copy_marker.cpp
@@ -2,17 +2,13 @@
 
 #include <algorithm>
 #include <charconv>
-#include <utility>
+#include <optional>
 
-#include "config/item_text.hpp"
 #include "store/store_version.hpp"
 
 namespace caraway {
 namespace {
 
-// Key of the row of a text that states m_copy_complete_until. No operators' item has it.
-constexpr std::string_view copy_row_key = "caraway/copy-complete-until";
-
 std::optional<std::uint64_t> parse_number(std::string_view text) {
     std::uint64_t number = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
@@ -54,29 +50,4 @@
     return latest;
 }
 
-std::string encode_item_list(const item_list& list) {
-    if (list.m_copy_complete_until == 0) {
-        return encode_items(list.m_items);
-    }
-    std::vector<store_entry> rows = list.m_items;
-    rows.push_back({std::string(copy_row_key), list.m_copy_complete_until, {}, false});
-    return encode_items(rows);
-}
-
-std::optional<item_list> decode_item_list(std::uint64_t version, std::string_view text) {
-    auto rows = decode_items(text);
-    if (!rows) {
-        return std::nullopt;
-    }
-    item_list list{version, std::move(*rows), 0};
-    const auto row =
-        std::find_if(list.m_items.begin(), list.m_items.end(),
-                     [](const store_entry& item) { return item.m_key == copy_row_key; });
-    if (row != list.m_items.end()) {
-        list.m_copy_complete_until = row->m_revision;
-        list.m_items.erase(row);
-    }
-    return list;
-}
-
 } // namespace caraway
--- a/src/decide/configuration/copy_marker.hpp
+++ b/src/decide/configuration/copy_marker.hpp
@@ -7,11 +7,9 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "store/store_codec.hpp"
 
@@ -32,19 +30,4 @@
 // if it shows that: it doesn't follow the change that it names.
 std::uint64_t copy_complete_until(std::span<const store_entry> markers, std::uint64_t era);
 
-// A configuration text as items, with its version.
-struct item_list {
-    std::uint64_t m_version = 0;
-    std::vector<store_entry> m_items;
-    // From copy_complete_until for the era of the version.
-    std::uint64_t m_copy_complete_until = 0;
-};
-
-// Encodes the list as one text. The text states m_copy_complete_until, so that all nodes judge the
-// items by the same evidence, those too that never read the store.
-std::string encode_item_list(const item_list& list);
-
-// Returns the list of such a text, or nothing if it is malformed.
-std::optional<item_list> decode_item_list(std::uint64_t version, std::string_view text);
-
 } // namespace caraway
--- a/src/decide/configuration/kept_items.hpp
+++ b/src/decide/configuration/kept_items.hpp
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "base/clock.hpp"
-#include "decide/configuration/copy_marker.hpp"
+#include "decide/configuration/item_list.hpp"
 #include "store/store_codec.hpp"
 
 namespace caraway {
--- a/tests/restored_store_model.hpp
+++ b/tests/restored_store_model.hpp
@@ -13,6 +13,7 @@
 #include "base/hash.hpp"
 #include "decide/configuration/copy_marker.hpp"
 #include "decide/configuration/distribution.hpp"
+#include "decide/configuration/item_list.hpp"
 #include "decide/configuration/kept_items.hpp"
 #include "platform/operator_items.hpp"
 #include "store/store_version.hpp"
