Measure how long a configuration takes from the first news until it is in force

Cause: a configuration that comes late on a large fleet can't be explained by the log, which has one line without times for each version and node. Change: config_applied states for how long a newer version was known, the answer of the member that was asked, the parsing and the wait for replicas, and where the text came from; the same as histogram caraway_config_phase_seconds. Gauge caraway_config_behind_seconds is the age of what is missing. Result: no change of behaviour; test observe/phases_of_a_text_add_up.

--- a/src/node/config_sync.cpp
+++ b/src/node/config_sync.cpp
@@ -89,6 +89,7 @@
     auto parsed = state.reads_operator_items()
                       ? parse_operator_items(state, version, *held_text->second.m_text)
                       : parse_submitted_text(state, version, *held_text->second.m_text);
+    note_text_parsed(state.m_text_progress, version, state.now());
     const bool valid = parsed.has_value();
     if (valid) {
         state.m_parsed_configs[version] = std::make_shared<const mesh>(std::move(*parsed));
@@ -167,6 +168,25 @@
     refresh_snapshot(state);
 }
 
+// Logs and measures that a version is in force here.
+void report_applied(control& state, std::uint64_t version, std::uint64_t previous_version) {
+    const bool is_latest = version >= state.m_distribution.m_highest_known;
+    const text_phases phases = finish_text(state.m_text_progress, version, is_latest, state.now());
+    const auto in_ms = [](duration value) {
+        return std::chrono::duration_cast<milliseconds>(value).count();
+    };
+    log_event(log_level::info, "config_applied",
+              {{"version", version},
+               {"previous", previous_version},
+               {"source", text_source_name(phases.m_source)},
+               {"behind_ms", in_ms(phases.m_behind)},
+               {"fetch_ms", in_ms(phases.m_fetch)},
+               {"parse_ms", in_ms(phases.m_parse)},
+               {"wait_ms", in_ms(phases.m_wait)}});
+    state.m_metrics->set_config_version(version);
+    state.m_metrics->count_applied_config(phases);
+}
+
 // Puts a parsed version in force and announces it to the collector. Drops older parsed versions.
 void apply_version(control& state, std::uint64_t version) {
     const auto parsed = state.m_parsed_configs.find(version);
@@ -178,10 +198,8 @@
     std::uint64_t previous_version = state.m_members.m_self.m_config_version;
     state.m_members.m_self.m_config_version = version;
     set_log_config_version(version);
-    log_event(log_level::info, "config_applied",
-              {{"version", version}, {"previous", previous_version}});
-    state.m_metrics->set_config_version(version);
     put_in_force(state, next, version);
+    report_applied(state, version, previous_version);
     if (!state.reads_operator_items()) {
         announce_in_force(state);
     }
@@ -191,6 +209,7 @@
 void request_text(control& state, const std::string& instance, const ip_endpoint& to,
                   std::uint64_t have_version) {
     const fetch_config_request request{state.m_settings.m_instance, have_version, have_version + 1};
+    note_text_requested(state.m_text_progress, state.now());
     send_bulk(state, to, request, [&state, instance](const std::optional<bulk_reply>& reply) {
         const auto* fetched = reply ? std::get_if<fetch_config_reply>(&*reply) : nullptr;
         if (fetched == nullptr || !fetched->m_config) {
@@ -258,6 +277,9 @@
 }
 
 void handle_peer_version(control& state, std::string_view instance, std::uint64_t version) {
+    if (version > state.m_distribution.m_applied) {
+        note_newer_version(state.m_text_progress, state.now());
+    }
     perform(state, decide_version_announced(state, instance, version));
 }
 
@@ -307,6 +329,8 @@
         perform(state, decide_fetch_failed(state));
         return;
     }
+    note_text_received(state.m_text_progress, packed.m_version, text_source_kind::member,
+                       state.now());
     const config_text received_text{packed.m_version, packed.m_hash,
                                     std::make_shared<const std::string>(std::move(*text))};
     perform(state, decide_text_received(state, instance, received_text));
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -27,6 +27,7 @@
 #include "node/adapter.hpp"
 #include "node/snapshot_builder.hpp"
 #include "observe/metrics.hpp"
+#include "observe/text_progress.hpp"
 #include "peer/transport.hpp"
 #include "peer/wire.hpp"
 #include "store/store_client.hpp"
@@ -256,7 +257,8 @@
     membership_table m_members;
     distribution_state m_distribution;
     fact_table m_facts;
-    kept_item_state m_kept_items; // in force though the store, restored from a copy, may lack them
+    text_progress m_text_progress; // of the versions on their way into force
+    kept_item_state m_kept_items;  // in force though the store, restored from a copy, may lack them
     std::shared_ptr<const mesh> m_mesh; // in force on this node
     // The operators' item with the last configuration that was valid. It applies while that of a
     // later text is invalid.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -318,6 +318,8 @@
             log_byte_counters(m_state.m_metrics->moved_bytes());
             log_store_calls();
         }
+        const auto behind_since = m_state.m_text_progress.m_behind_since;
+        m_state.m_metrics->set_config_behind(behind_since ? now - *behind_since : duration{});
         std::map<member_state, std::uint64_t> counts;
         for (const auto& [name, tracked] : m_state.m_members.m_members) {
             ++counts[tracked.m_member.m_state];
--- a/src/node/operator_watch.cpp
+++ b/src/node/operator_watch.cpp
@@ -9,6 +9,7 @@
 #include "base/hash.hpp"
 #include "decide/configuration/copy_marker.hpp"
 #include "decide/configuration/hedged_read.hpp"
+#include "decide/configuration/item_list.hpp"
 #include "node/control.hpp"
 #include "node/recorded.hpp"
 #include "observe/log.hpp"
@@ -119,6 +120,9 @@
         const bool unchanged = texts.rbegin()->second.m_hash == hash;
         version = unchanged ? texts.rbegin()->first : watch.m_watch_revision;
     }
+    if (version > held_version(state.m_distribution)) {
+        note_text_received(state.m_text_progress, version, text_source_kind::store, state.now());
+    }
     perform(state, decide_store_read(state, config_text{version, hash, std::move(text)}));
     write_copy_marker(state);
 }
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -38,15 +38,16 @@
                                  "Bytes of exchanges with other nodes, by purpose and scope")),
           m_store_calls(
               add_counter_family("caraway_store_calls_total", "Calls to the store by result")),
-          m_latency(prometheus::BuildHistogram()
-                        .Name("caraway_call_seconds")
-                        .Help("Time from the request to its answer, by side")
-                        .Labels(m_labels)
-                        .Register(m_registry)),
+          m_latency(add_histogram_family("caraway_call_seconds",
+                                         "Time from the request to its answer, by side")),
           m_entry_latency(m_latency.Add({{"side", "entry"}}, latency_bucket_bounds_s)),
           m_backend_latency(m_latency.Add({{"side", "backend"}}, latency_bucket_bounds_s)),
           m_config_version(
               add_gauge_family("caraway_config_version", "Configuration version in force")),
+          m_config_behind(add_gauge_family("caraway_config_behind_seconds",
+                                           "Time for which a newer version has been known")),
+          m_config_phases(add_histogram_family("caraway_config_phase_seconds",
+                                               "Phases of putting a version in force")),
           m_unknown_config_values(
               add_gauge_family("caraway_config_unknown_values",
                                "Values of the configuration in force that are not known here")),
@@ -88,6 +89,12 @@
         return prometheus::BuildGauge().Name(name).Help(help).Labels(m_labels).Register(m_registry);
     }
 
+    prometheus::Family<prometheus::Histogram>& add_histogram_family(const char* name,
+                                                                    const char* help) {
+        return prometheus::BuildHistogram().Name(name).Help(help).Labels(m_labels).Register(
+            m_registry);
+    }
+
     // Returns the counter of one combination of labels, from a cache. Family::Add would build and
     // compare label maps for every call, but the cache needs only one hash and a shared lock.
     prometheus::Counter& call_counter(std::string_view side, std::string_view service,
@@ -138,6 +145,8 @@
     prometheus::Histogram& m_entry_latency;
     prometheus::Histogram& m_backend_latency;
     prometheus::Family<prometheus::Gauge>& m_config_version;
+    prometheus::Family<prometheus::Gauge>& m_config_behind;
+    prometheus::Family<prometheus::Histogram>& m_config_phases;
     prometheus::Family<prometheus::Gauge>& m_unknown_config_values;
     prometheus::Family<prometheus::Gauge>& m_unusable_items;
     prometheus::Family<prometheus::Gauge>& m_store_era;
@@ -201,6 +210,21 @@
     m_impl->m_config_version.Add({}).Set(static_cast<double>(version));
 }
 
+void node_metrics::count_applied_config(const text_phases& phases) {
+    const auto observe = [this](std::string_view phase, duration time) {
+        m_impl->m_config_phases.Add({{"phase", std::string(phase)}}, latency_bucket_bounds_s)
+            .Observe(std::chrono::duration<double>(time).count());
+    };
+    observe("behind", phases.m_behind);
+    observe("fetch", phases.m_fetch);
+    observe("parse", phases.m_parse);
+    observe("wait", phases.m_wait);
+}
+
+void node_metrics::set_config_behind(duration time) {
+    m_impl->m_config_behind.Add({}).Set(std::chrono::duration<double>(time).count());
+}
+
 void node_metrics::set_unknown_config_values(std::uint64_t count) {
     m_impl->m_unknown_config_values.Add({}).Set(static_cast<double>(count));
 }
--- a/src/observe/metrics.hpp
+++ b/src/observe/metrics.hpp
@@ -9,6 +9,7 @@
 #include "base/clock.hpp"
 #include "base/error.hpp"
 #include "observe/byte_account.hpp"
+#include "observe/text_progress.hpp"
 
 namespace caraway {
 
@@ -35,6 +36,11 @@
     // Counts a call to the key-value store by its result.
     void count_store_call(std::string_view operation, error_kind result);
     void set_config_version(std::uint64_t version);
+    // Records how long the phases of a configuration version took that is now in force.
+    void count_applied_config(const text_phases& phases);
+    // Sets for how long this node has known of a newer version than the one in force, 0 if it
+    // knows of none.
+    void set_config_behind(duration time);
     // Sets the number of values in the configuration in force that this program doesn't know.
     void set_unknown_config_values(std::uint64_t count);
     // Sets the number of operators' items that are not in force because they can't be used.
--- a/tests/observe_test.cpp
+++ b/tests/observe_test.cpp
@@ -9,6 +9,7 @@
 #include "observe/metrics.hpp"
 #include "observe/recorder.hpp"
 #include "observe/span.hpp"
+#include "observe/text_progress.hpp"
 #include "tests/support.hpp"
 
 using namespace caraway;
@@ -118,4 +119,30 @@
     BOOST_TEST(buffer.m_pending.ends_with("next\n"));
 }
 
+// Guards against a version whose delay is counted from the last news instead of the first, or whose
+// phases are those of another version.
+BOOST_AUTO_TEST_CASE(phases_of_a_text_add_up) {
+    const time_point start{};
+    const auto after = [start](int ms) { return start + milliseconds(ms); };
+    text_progress progress;
+    note_newer_version(progress, start);
+    note_newer_version(progress, after(100));
+    note_text_requested(progress, after(110));
+    note_text_received(progress, 7, text_source_kind::member, after(150));
+    note_text_parsed(progress, 7, after(250));
+    note_text_received(progress, 9, text_source_kind::store, after(260));
+    const text_phases first = finish_text(progress, 7, false, after(300));
+    BOOST_TEST((first.m_behind == milliseconds(300)));
+    BOOST_TEST((first.m_fetch == milliseconds(40)));
+    BOOST_TEST((first.m_parse == milliseconds(100)));
+    BOOST_TEST((first.m_wait == milliseconds(50)));
+    BOOST_TEST((first.m_source == text_source_kind::member));
+    note_text_parsed(progress, 9, after(360));
+    const text_phases second = finish_text(progress, 9, true, after(400));
+    BOOST_TEST((second.m_behind == milliseconds(400)));
+    BOOST_TEST((second.m_source == text_source_kind::store));
+    BOOST_TEST(!progress.m_behind_since);
+    BOOST_TEST(progress.m_texts.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
