--- a/src/decide/configuration/kept_items.cpp
+++ b/src/decide/configuration/kept_items.cpp
@@ -243,11 +243,11 @@
     if (base != nullptr) {
         state.m_table = make_table(*base, before, first, state.m_compare);
     }
-    if (state.m_early.m_era == era) {
-        merge_tables(state, state.m_table, state.m_early);
+    if (state.m_next_era_table.m_era == era) {
+        merge_tables(state, state.m_table, state.m_next_era_table);
     }
-    if (state.m_early.m_era <= era) {
-        state.m_early = {};
+    if (state.m_next_era_table.m_era <= era) {
+        state.m_next_era_table = {};
     }
 }
 
@@ -311,10 +311,10 @@
     if (received.m_era == state.m_table.m_era) {
         return merge_tables(state, state.m_table, received);
     }
-    if (received.m_era > state.m_early.m_era && received.m_era > state.m_table.m_era) {
-        state.m_early = received;
-    } else if (received.m_era == state.m_early.m_era) {
-        merge_tables(state, state.m_early, received);
+    if (received.m_era > state.m_next_era_table.m_era && received.m_era > state.m_table.m_era) {
+        state.m_next_era_table = received;
+    } else if (received.m_era == state.m_next_era_table.m_era) {
+        merge_tables(state, state.m_next_era_table, received);
     }
     return false;
 }
--- a/src/decide/configuration/kept_items.hpp
+++ b/src/decide/configuration/kept_items.hpp
@@ -84,7 +84,7 @@
     kept_items m_table; // of the era of the latest text handled here
     // Received table of a later era. It is merged when the first text of its era arrives, since
     // until then m_table tells what is in force.
-    kept_items m_early;
+    kept_items m_next_era_table;
     // When this node learnt that an item is unconfirmed, by key.
     std::map<std::string, time_point, std::less<>> m_unconfirmed_since;
 };
