--- a/tests/restored_store_schedule_test.cpp
+++ b/tests/restored_store_schedule_test.cpp
@@ -38,7 +38,7 @@
             node.read_store(m_store);
         }
         m_store.write_marker();
-        m_copy = m_store;
+        take_copy();
     }
 
     // Makes one random step.
@@ -55,7 +55,7 @@
         } else if (choice < 80) {
             node().exchange(node());
         } else if (choice < 85) {
-            m_copy = m_store;
+            take_copy();
         } else if (choice < 90) {
             restore();
         } else if (choice < 93) {
@@ -96,6 +96,8 @@
     }
 
 private:
+    void take_copy() { m_copy = m_store; }
+
     reading_node& node() { return m_nodes.at(m_random.below(m_nodes.size())); }
 
     std::string next_value(const std::string& key) {
